--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Agent daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,14 @@
+//! Shared vocabulary of the system: ids, error kinds, secrets, backoff, logging and metrics.
+
+pub mod backoff;
+pub mod error;
+pub mod ids;
+pub mod logging;
+pub mod metrics;
+pub mod secret;
+
+pub use error::Error;
+pub use error::ErrorKind;
+pub use error::Outcome;
+pub use error::Result;
+pub use ids::*;
--- /dev/null
+++ b/crates/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing of calls, slots of backend servers and claims.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry host daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement of gangs and guarantees in one data centre.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ownership of duties by lease rows with fencing epochs.
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,26 @@
+//! HTTP server and client with limits, authentication, MessagePack bodies and draining.
+//!
+//! The system's own processes exchange [`Message`]s: a POST with a MessagePack body and the shared
+//! secret in a header. Callers, operators and the platform use plain HTTP through the same server.
+
+mod client;
+mod drain;
+mod fault;
+mod message;
+mod server;
+
+pub use client::Client;
+pub use drain::Drain;
+pub use drain::InFlight;
+pub use fault::Fault;
+pub use fault::LinkFaults;
+pub use message::Message;
+pub use message::REQUEST_ID_HEADER;
+pub use message::SECRET_HEADER;
+pub use message::decode;
+pub use message::encode;
+pub use server::Handler;
+pub use server::Request;
+pub use server::Response;
+pub use server::Server;
+pub use server::ServerLimits;
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,367 @@
+//! HTTP/1.1 server with limits on connections, headers, bodies and time.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use cyper_core::CompioTimer;
+use cyper_core::HyperStream;
+use futures_util::future::Either;
+use futures_util::future::select;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use log::debug;
+use log::warn;
+use serde::Serialize;
+
+use crate::Drain;
+use crate::Message;
+use crate::REQUEST_ID_HEADER;
+use crate::SECRET_HEADER;
+use crate::decode;
+use crate::encode;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::new_id;
+use nutmegwalk_base::secret::Secret;
+
+/// Limits that keep one peer from exhausting the process.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Largest request head, in bytes.
+    pub max_header_bytes: usize,
+    /// Connections served at once; more are closed at once.
+    pub max_connections: usize,
+    /// Time for the request head to arrive, which also bounds how long a connection stays idle.
+    pub header_timeout: Duration,
+    /// Time for the request body to arrive.
+    pub body_timeout: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 8 << 20,
+            max_header_bytes: 16 << 10,
+            max_connections: 12_000,
+            header_timeout: Duration::from_secs(15),
+            body_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A request whose body has arrived whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Method of the request.
+    pub method: Method,
+    /// Path without the query.
+    pub path: Box<str>,
+    /// Query without the question mark; empty when there is none.
+    pub query: Box<str>,
+    /// Headers of the request.
+    pub headers: HeaderMap,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Id from the request-id header, or a new one.
+    pub request_id: Box<str>,
+    /// Address of the peer.
+    pub peer: SocketAddr,
+}
+
+impl Request {
+    /// Returns a header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Returns the token of an `authorization: Bearer` header.
+    #[must_use]
+    pub fn bearer_token(&self) -> Option<&str> {
+        self.header("authorization")?.strip_prefix("Bearer ")
+    }
+
+    /// Decodes the body as message `M` after checking the shared secret.
+    ///
+    /// # Errors
+    /// `unauthenticated` without the secret, `bad_request` when the body is malformed.
+    pub fn message<M: Message>(&self, secret: &Secret) -> Result<M> {
+        self.check_secret(secret)?;
+        decode(&self.body)
+    }
+
+    /// Checks that the sender is a process of this system.
+    ///
+    /// # Errors
+    /// `unauthenticated` without the secret.
+    pub fn check_secret(&self, secret: &Secret) -> Result<()> {
+        match self.header(SECRET_HEADER) {
+            Some(shown) if secret.matches(shown) => Ok(()),
+            _ => Err(Error::new(
+                ErrorKind::Unauthenticated,
+                "the shared secret is missing or wrong",
+            )),
+        }
+    }
+}
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers of the response.
+    pub headers: HeaderMap,
+    /// Body of the response.
+    pub body: Bytes,
+}
+
+impl Response {
+    /// Creates a response without headers.
+    #[must_use]
+    pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: body.into(),
+        }
+    }
+
+    /// Adds a header; an invalid value is left out.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.insert(HeaderName::from_static(name), value);
+        }
+        self
+    }
+
+    /// Creates the answer to a message: MessagePack, also for errors.
+    #[must_use]
+    pub fn message<T: Serialize>(result: &Result<T>) -> Self {
+        let encoded = match result {
+            Ok(answer) => encode(answer).map(|body| Self::new(200, body)),
+            Err(error) => encode(error).map(|body| Self::new(error.kind.http_status(), body)),
+        };
+        encoded.unwrap_or_else(|_| Self::new(500, Bytes::new()))
+    }
+
+    /// Creates a JSON answer for callers and operators, also for errors.
+    #[must_use]
+    pub fn json<T: Serialize>(result: &Result<T>) -> Self {
+        let response = match result {
+            Ok(answer) => Self::new(200, serde_json::to_vec(answer).unwrap_or_default()),
+            Err(error) => Self::error(error),
+        };
+        response.with_header("content-type", "application/json")
+    }
+
+    /// Creates a JSON error with the outcome and the retry hint as headers.
+    #[must_use]
+    pub fn error(error: &Error) -> Self {
+        let body = serde_json::to_vec(error).unwrap_or_default();
+        let response = Self::new(error.kind.http_status(), body)
+            .with_header("content-type", "application/json")
+            .with_header("nutmegwalk-outcome", error.outcome().name());
+        match error.retry_after_ms {
+            Some(delay_ms) => {
+                response.with_header("retry-after", &delay_ms.div_ceil(1000).to_string())
+            }
+            None => response,
+        }
+    }
+}
+
+/// Answers requests of a [`Server`].
+pub trait Handler: 'static {
+    /// Answers `request`; errors are answers too.
+    fn handle(self: Rc<Self>, request: Request) -> impl Future<Output = Response>;
+}
+
+/// A listening server.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    local_address: SocketAddr,
+    limits: ServerLimits,
+}
+
+impl Server {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    /// `address_in_use` when the address cannot be bound.
+    pub async fn bind(address: SocketAddr, limits: ServerLimits) -> Result<Self> {
+        let in_use = |error: std::io::Error| {
+            Error::new(
+                ErrorKind::AddressInUse,
+                format!("cannot listen on {address}: {error}"),
+            )
+        };
+        let listener = TcpListener::bind(address).await.map_err(in_use)?;
+        let local_address = listener.local_addr().map_err(in_use)?;
+        Ok(Self {
+            listener,
+            local_address,
+            limits,
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    #[must_use]
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Serves until `drain` starts, then finishes the requests in flight and returns.
+    ///
+    /// Idle connections are closed when the drain starts; each connection with a request in flight
+    /// is closed after its answer.
+    pub async fn serve<H: Handler>(self, handler: Rc<H>, drain: Drain) {
+        let connections = Drain::new();
+        loop {
+            let accepted = match select(pin!(self.listener.accept()), pin!(drain.started())).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => break,
+            };
+            let (stream, peer) = match accepted {
+                Ok(connection) => connection,
+                Err(error) => {
+                    warn!("cannot accept a connection: {error}");
+                    // Accepting fails when file descriptors run out; a pause lets some close.
+                    compio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            if connections.in_flight() >= self.limits.max_connections {
+                debug!("closing a connection of {peer}: too many connections");
+                continue;
+            }
+            let open = connections.enter();
+            let connection = serve_connection(
+                stream,
+                peer,
+                Rc::clone(&handler),
+                self.limits,
+                drain.clone(),
+            );
+            compio::runtime::spawn(async move {
+                connection.await;
+                drop(open);
+            })
+            .detach();
+        }
+        drop(self.listener);
+        connections.idle().await;
+    }
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Rc<H>,
+    limits: ServerLimits,
+    drain: Drain,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Rc::clone(&handler);
+        async move { Ok::<_, Infallible>(into_hyper(answer(handler, request, peer, limits).await)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(limits.header_timeout)
+        .max_header_size(limits.max_header_bytes)
+        .max_buf_size(limits.max_header_bytes.max(64 << 10))
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    let finished = match select(connection.as_mut(), pin!(drain.started())).await {
+        Either::Left((finished, _)) => finished,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = finished {
+        debug!("connection of {peer} ended: {error}");
+    }
+}
+
+async fn answer<H: Handler>(
+    handler: Rc<H>,
+    request: hyper::Request<Incoming>,
+    peer: SocketAddr,
+    limits: ServerLimits,
+) -> Response {
+    match receive(request, peer, limits).await {
+        Ok(request) => handler.handle(request).await,
+        // The rest of the body is unread, so the connection cannot be used again.
+        Err(error) => Response::error(&error).with_header("connection", "close"),
+    }
+}
+
+async fn receive(
+    request: hyper::Request<Incoming>,
+    peer: SocketAddr,
+    limits: ServerLimits,
+) -> Result<Request> {
+    let (head, body) = request.into_parts();
+    let body = compio::time::timeout(
+        limits.body_timeout,
+        Limited::new(body, limits.max_body_bytes).collect(),
+    )
+    .await
+    .map_err(|_| Error::new(ErrorKind::RequestTimeout, "the body did not arrive in time"))?
+    .map_err(|error| {
+        if error.is::<http_body_util::LengthLimitError>() {
+            let detail = format!("the body is larger than {} bytes", limits.max_body_bytes);
+            return Error::new(ErrorKind::TooLarge, detail);
+        }
+        Error::new(
+            ErrorKind::BadRequest,
+            format!("the body was cut short: {error}"),
+        )
+    })?
+    .to_bytes();
+    let request_id = head
+        .headers
+        .get(REQUEST_ID_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .filter(|id| !id.is_empty() && id.len() <= 128)
+        .map_or_else(|| new_id("req"), Into::into);
+    Ok(Request {
+        method: head.method,
+        path: head.uri.path().into(),
+        query: head.uri.query().unwrap_or_default().into(),
+        headers: head.headers,
+        body,
+        request_id,
+        peer,
+    })
+}
+
+fn into_hyper(response: Response) -> hyper::Response<Full<Bytes>> {
+    let mut answer = hyper::Response::new(Full::new(response.body));
+    *answer.status_mut() = http::StatusCode::from_u16(response.status)
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    *answer.headers_mut() = response.headers;
+    answer
+}
--- /dev/null
+++ b/crates/net/tests/net.rs
@@ -0,0 +1,185 @@
+//! Tests of server limits, messages, faults and draining over loopback.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use serde::Deserialize;
+use serde::Serialize;
+
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Fault;
+use nutmegwalk_net::Handler;
+use nutmegwalk_net::LinkFaults;
+use nutmegwalk_net::Message;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_net::Server;
+use nutmegwalk_net::ServerLimits;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+#[derive(Deserialize, Serialize)]
+struct Echo {
+    text: Box<str>,
+    delay_ms: u64,
+}
+
+impl Message for Echo {
+    type Answer = Box<str>;
+    const PATH: &'static str = "/v1/echo";
+}
+
+struct EchoHandler {
+    secret: Secret,
+    handled: Cell<u32>,
+}
+
+impl Handler for EchoHandler {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        let result: Result<Box<str>> = match request.message::<Echo>(&self.secret) {
+            Ok(echo) => {
+                self.handled.set(self.handled.get() + 1);
+                compio::time::sleep(Duration::from_millis(echo.delay_ms)).await;
+                Ok(echo.text)
+            }
+            Err(error) => Err(error),
+        };
+        Response::message(&result)
+    }
+}
+
+struct FixedFault(Fault);
+
+impl LinkFaults for FixedFault {
+    fn fault(&self, _from: &str, _to: SocketAddr, _path: &str) -> Fault {
+        self.0
+    }
+}
+
+struct Bench {
+    address: SocketAddr,
+    handler: Rc<EchoHandler>,
+    drain: Drain,
+    served: compio::runtime::JoinHandle<()>,
+}
+
+async fn start(limits: ServerLimits) -> Bench {
+    let server = Server::bind("127.0.0.1:0".parse().unwrap(), limits)
+        .await
+        .unwrap();
+    let address = server.local_address();
+    let handler = Rc::new(EchoHandler {
+        secret: Secret::new("s"),
+        handled: Cell::new(0),
+    });
+    let drain = Drain::new();
+    let served = compio::runtime::spawn(server.serve(Rc::clone(&handler), drain.clone()));
+    Bench {
+        address,
+        handler,
+        drain,
+        served,
+    }
+}
+
+fn client(secret: &str) -> Client {
+    Client::new("test", Secret::new(secret)).unwrap()
+}
+
+fn echo(delay_ms: u64) -> Echo {
+    Echo {
+        text: "plank".into(),
+        delay_ms,
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[rstest::rstest] fn $name() { compio::runtime::Runtime::new().unwrap().block_on(async $body) })*
+    };
+}
+
+cases! {
+    // Guards against an unauthenticated peer being obeyed.
+    message_needs_the_shared_secret => {
+        let bench = start(ServerLimits::default()).await;
+        assert_eq!(&*client("s").send(bench.address, &echo(0), TIMEOUT).await.unwrap(), "plank");
+        let error = client("wrong").send(bench.address, &echo(0), TIMEOUT).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::Unauthenticated);
+        assert_eq!(bench.handler.handled.get(), 1);
+    }
+
+    // Guards against "not run" being reported for a request that the peer processed.
+    lost_answer_is_unknown_and_cut_link_is_not_run => {
+        let bench = start(ServerLimits::default()).await;
+        let lossy = client("s").with_faults(Arc::new(FixedFault(Fault::LoseAnswer)));
+        let error = lossy.send(bench.address, &echo(0), TIMEOUT).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::UnknownOutcome);
+        assert_eq!(bench.handler.handled.get(), 1);
+        let cut = client("s").with_faults(Arc::new(FixedFault(Fault::Cut)));
+        let error = cut.send(bench.address, &echo(0), TIMEOUT).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::Unreachable);
+        assert_eq!(bench.handler.handled.get(), 1);
+    }
+
+    // Guards against a refused connection being reported as an unknown outcome.
+    closed_port_is_unreachable => {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let error = client("s").send(address, &echo(0), TIMEOUT).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::Unreachable);
+    }
+
+    // Guards against a body without bound using up memory.
+    oversized_body_is_refused => {
+        let bench = start(ServerLimits { max_body_bytes: 100, ..ServerLimits::default() }).await;
+        let body = Bytes::from(vec![0_u8; 200]);
+        let response =
+            client("s").request(Method::POST, bench.address, "/v1/echo", &[], body, TIMEOUT).await.unwrap();
+        assert_eq!(response.status, 413);
+    }
+
+    // Guards against a shutdown that cuts off a request in flight.
+    drain_finishes_requests_in_flight => {
+        let bench = start(ServerLimits::default()).await;
+        let address = bench.address;
+        let call = compio::runtime::spawn(async move { client("s").send(address, &echo(300), TIMEOUT).await });
+        while bench.handler.handled.get() == 0 {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        bench.drain.start();
+        assert_eq!(&*call.await.unwrap().unwrap(), "plank");
+        bench.served.await.unwrap();
+        let error = client("s").send(address, &echo(0), TIMEOUT).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::Unreachable);
+    }
+
+    // Guards against a port in use being reported without its address.
+    port_in_use_is_named => {
+        let bench = start(ServerLimits::default()).await;
+        let error = Server::bind(bench.address, ServerLimits::default()).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::AddressInUse);
+        assert!(error.detail.contains(&bench.address.to_string()));
+    }
+
+    // Guards against connections that never send a request head staying open for ever.
+    silent_connection_is_closed => {
+        let limits = ServerLimits { header_timeout: Duration::from_millis(100), ..ServerLimits::default() };
+        let bench = start(limits).await;
+        let stream = compio::net::TcpStream::connect(bench.address).await.unwrap();
+        let mut reader = stream;
+        let read = compio::io::AsyncRead::read(&mut reader, Vec::with_capacity(64));
+        let compio::BufResult(result, _) = compio::time::timeout(TIMEOUT, read).await.unwrap();
+        assert!(matches!(result, Ok(0) | Err(_)));
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Assembly of entry hosts, agents and data-centre owners.
--- /dev/null
+++ b/crates/scenarios/src/lib.rs
@@ -0,0 +1,1 @@
+//! Platform stand-in and scenario runner.
--- /dev/null
+++ b/crates/scenarios/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs scenario files.
+
+fn main() {}
--- /dev/null
+++ b/crates/store/src/table.rs
@@ -0,0 +1,160 @@
+//! The platform's table service and object store, as this system sees them.
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use serde::Deserialize;
+use serde::Serialize;
+
+use nutmegwalk_base::Result;
+
+/// Version of a row; each write of the row gives it a higher one.
+pub type RowVersion = u64;
+
+/// Largest number of writes in one transaction.
+pub const MAX_TRANSACTION_WRITES: usize = 100;
+
+/// One row of the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// Key of the row.
+    pub key: Box<str>,
+    /// Version of the row.
+    pub version: RowVersion,
+    /// JSON text of the row.
+    pub value: Box<str>,
+}
+
+/// A condition on which a transaction depends.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Condition {
+    /// No row has this key.
+    Absent {
+        /// Key of the row.
+        key: Box<str>,
+    },
+    /// The row has exactly this version.
+    Version {
+        /// Key of the row.
+        key: Box<str>,
+        /// Version that the row must have.
+        version: RowVersion,
+    },
+}
+
+/// A change of one row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Write {
+    /// Creates or replaces a row.
+    Put {
+        /// Key of the row.
+        key: Box<str>,
+        /// JSON text of the row.
+        value: Box<str>,
+    },
+    /// Deletes a row, if there is one.
+    Delete {
+        /// Key of the row.
+        key: Box<str>,
+    },
+}
+
+/// Conditions and writes that take effect together or not at all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Transaction {
+    /// All of these must hold.
+    pub conditions: Vec<Condition>,
+    /// These are applied when the conditions hold.
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Creates an empty transaction.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds the condition that no row has `key`.
+    #[must_use]
+    pub fn with_absent(mut self, key: impl Into<Box<str>>) -> Self {
+        self.conditions.push(Condition::Absent { key: key.into() });
+        self
+    }
+
+    /// Adds the condition that the row `key` has `version`.
+    #[must_use]
+    pub fn with_version(mut self, key: impl Into<Box<str>>, version: RowVersion) -> Self {
+        self.conditions.push(Condition::Version {
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    /// Adds a write of a row.
+    #[must_use]
+    pub fn with_put(mut self, key: impl Into<Box<str>>, value: impl Into<Box<str>>) -> Self {
+        self.writes.push(Write::Put {
+            key: key.into(),
+            value: value.into(),
+        });
+        self
+    }
+
+    /// Adds a deletion of a row.
+    #[must_use]
+    pub fn with_delete(mut self, key: impl Into<Box<str>>) -> Self {
+        self.writes.push(Write::Delete { key: key.into() });
+        self
+    }
+}
+
+/// What became of a transaction that the table answered.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TransactionOutcome {
+    /// All writes took effect.
+    Committed {
+        /// Version given to every row written.
+        version: RowVersion,
+    },
+    /// Nothing took effect.
+    Rejected {
+        /// Indices of the conditions that did not hold.
+        failed_conditions: Vec<usize>,
+    },
+}
+
+/// The transactional table service.
+///
+/// Errors are `store_unavailable` when nothing was written and `store_unknown` when a write may have
+/// taken effect.
+pub trait TableStore {
+    /// Runs `transaction`, with at most [`MAX_TRANSACTION_WRITES`] writes.
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> LocalBoxFuture<'a, Result<TransactionOutcome>>;
+
+    /// Reads rows, in the order of `keys`.
+    fn get<'a>(&'a self, keys: &'a [Box<str>]) -> LocalBoxFuture<'a, Result<Vec<Option<Row>>>>;
+
+    /// Reads at most `limit` rows whose key starts with `prefix` and is greater than `after`, in key order.
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Vec<Row>>>;
+}
+
+/// The object store. Objects are immutable once written.
+pub trait ObjectStore {
+    /// Writes an object.
+    fn put_object<'a>(&'a self, name: &'a str, content: Bytes) -> LocalBoxFuture<'a, Result<()>>;
+
+    /// Reads an object, if there is one.
+    fn get_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<Option<Bytes>>>;
+}
--- /dev/null
+++ b/crates/sync/src/lib.rs
@@ -0,0 +1,1 @@
+//! Distribution of configuration and owner rows, and membership.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line for operators and callers.
+
+fn main() {}
