Add the HTTP store adapter and the batching store client

Cause: every process needs the platform's table and object store, which together take several hundred writes a second and have outages.

Change: HttpStore speaks the platform's JSON over HTTP and tells requests that were not sent (store_unavailable) from writes whose answer was lost (store_unknown). StoreClient gathers independent transactions of one duty for 2 ms, sends the rest again when one part's condition fails, keeps a request budget for each duty, opens a circuit breaker after 5 failures, and reads back by writer tag after an unknown outcome. A result that the read-back cannot settle is store_unknown.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,11 +1,31 @@
 //! Table and object store adapters and the batching store client.
 //!
 //! [`TableStore`] and [`ObjectStore`] are the narrow interfaces to the platform; another platform is
-//! attached by implementing them. [`MemoryStore`] keeps both in memory, for tests and the stand-in.
+//! attached by implementing them. [`HttpStore`] speaks the platform's HTTP, and [`MemoryStore`] keeps
+//! everything in memory, for tests and the stand-in. All processes reach the store through a
+//! [`StoreClient`].
 
+mod batch;
+mod breaker;
+mod budget;
+mod client;
+mod duty;
+mod http;
 mod memory;
+mod part;
 mod table;
+mod tag;
 
+pub use breaker::Breaker;
+pub use budget::Budgets;
+pub use client::StoreClient;
+pub use duty::Counters;
+pub use duty::Duty;
+pub use duty::DutyCounters;
+pub use http::GetRequest;
+pub use http::HttpStore;
+pub use http::PROCESS_HEADER;
+pub use http::ScanRequest;
 pub use memory::MemoryStore;
 pub use table::Condition;
 pub use table::MAX_TRANSACTION_WRITES;
