--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -27,6 +27,20 @@
     pub customers: BTreeMap<CustomerId, Customer>,
     /// Operators by name.
     pub operators: BTreeMap<Box<str>, Operator>,
+    /// Data centres that operators took out and have not returned. An entry outlives the data
+    /// centre's removal from the files, so that adding it again does not return it to service.
+    #[serde(default)]
+    pub taken_out: BTreeMap<DataCentreId, TakenOut>,
+}
+
+/// How a data centre was taken out of service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TakenOut {
+    /// Version of the change that took it out.
+    pub version: ConfigVersion,
+    /// Whether an operator vouches that nothing runs there any more.
+    pub lost: bool,
 }
 
 /// A data centre with its racks.
--- /dev/null
+++ b/crates/sync/src/client.rs
@@ -0,0 +1,361 @@
+//! Polls of upstreams, by agents, relays and entry hosts.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use log::debug;
+use log::info;
+use rand::Rng;
+
+use crate::Membership;
+use crate::OwnerValue;
+use crate::Payload;
+use crate::RelayList;
+use crate::Report;
+use crate::Role;
+use crate::SyncAnswer;
+use crate::SyncRequest;
+use crate::SyncTimings;
+use crate::View;
+use crate::history::Step;
+use crate::link::Link;
+use crate::upstreams::Upstreams;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_config::apply;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Message;
+use nutmegwalk_net::decode;
+use nutmegwalk_net::encode;
+
+/// Counts of one client since its creation.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SyncCounters {
+    /// Polls that were answered.
+    pub polls: u64,
+    /// Polls that failed.
+    pub failures: u64,
+    /// Bytes of request bodies.
+    pub sent_bytes: u64,
+    /// Bytes of answer bodies.
+    pub received_bytes: u64,
+}
+
+/// Keeps a view up to date from upstreams and reports upward.
+pub struct SyncClient {
+    client: Client,
+    view: View,
+    timings: SyncTimings,
+    report: RefCell<Report>,
+    members: Option<Membership>,
+    relays: RelayList,
+    upstreams: RefCell<Upstreams>,
+    links: RefCell<BTreeMap<SocketAddr, Link>>,
+    counters: Cell<SyncCounters>,
+}
+
+impl SyncClient {
+    /// Creates a client that updates `view` from the entry hosts and reports `report`.
+    #[must_use]
+    pub fn new(
+        client: Client,
+        view: View,
+        report: Report,
+        entries: Vec<SocketAddr>,
+        timings: SyncTimings,
+    ) -> Self {
+        let upstreams = Upstreams::new(report.process.clone(), entries);
+        Self {
+            client,
+            view,
+            timings,
+            report: RefCell::new(report),
+            members: None,
+            relays: RelayList::default(),
+            upstreams: RefCell::new(upstreams),
+            links: RefCell::default(),
+            counters: Cell::default(),
+        }
+    }
+
+    /// Passes on the reports of the processes that report to this one.
+    #[must_use]
+    pub fn with_members(mut self, members: Membership) -> Self {
+        self.members = Some(members);
+        self
+    }
+
+    /// Returns the relays that the upstream announced, for this process's own server.
+    #[must_use]
+    pub fn relays(&self) -> RelayList {
+        Rc::clone(&self.relays)
+    }
+
+    /// Returns the counts so far.
+    #[must_use]
+    pub fn counters(&self) -> SyncCounters {
+        self.counters.get()
+    }
+
+    /// Returns the upstream that answered last.
+    #[must_use]
+    pub fn upstream(&self) -> Option<SocketAddr> {
+        self.upstreams.borrow().current()
+    }
+
+    /// Replaces the list of entry hosts.
+    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
+        self.upstreams.borrow_mut().set_entries(entries);
+    }
+
+    /// Replaces the payload of the report; an equal one is not sent again.
+    pub fn set_payload(&self, payload: &[u8]) {
+        let mut report = self.report.borrow_mut();
+        if report.payload.as_bytes() != payload {
+            report.payload = Payload::new(payload);
+            report.revision += 1;
+        }
+    }
+
+    /// Reports whether this process is shutting down.
+    pub fn set_draining(&self, draining: bool) {
+        let mut report = self.report.borrow_mut();
+        if report.draining != draining {
+            report.draining = draining;
+            report.revision += 1;
+        }
+    }
+
+    /// Polls one upstream at the configured interval until `drain` starts; another one takes its place
+    /// as soon as it fails.
+    pub async fn run(&self, drain: Drain) {
+        // Spreads the polls of agents that start together.
+        let spread = self.timings.poll_interval.mul_f64(rand::rng().random());
+        let mut pause = self.first_pause(spread);
+        while !drain.is_started() {
+            compio::time::sleep(pause).await;
+            let started = Instant::now();
+            if self.poll_any().await.is_err() {
+                debug!("no upstream answered");
+            }
+            pause = self.timings.poll_interval.saturating_sub(started.elapsed());
+        }
+    }
+
+    /// Polls every entry host at the configured interval until `drain` starts. Entry hosts use this
+    /// among themselves, so that each knows all processes and gets a view when its store is cut off.
+    pub async fn run_peers(&self, drain: Drain) {
+        while !drain.is_started() {
+            let started = Instant::now();
+            let entries = self.upstreams.borrow().entries().to_vec();
+            join_all(entries.into_iter().map(|entry| self.poll(entry))).await;
+            let pause = self.timings.poll_interval.saturating_sub(started.elapsed());
+            compio::time::sleep(pause).await;
+        }
+    }
+
+    /// A process without any view polls at once, because it can do nothing before.
+    fn first_pause(&self, spread: Duration) -> Duration {
+        match self.view.age() {
+            None => spread / 10,
+            Some(_) => spread,
+        }
+    }
+
+    /// Polls upstreams in the order of preference until one has a recent view.
+    ///
+    /// # Errors
+    /// The error of the last upstream when none answered.
+    pub async fn poll_any(&self) -> Result<()> {
+        let order = self
+            .upstreams
+            .borrow()
+            .order(&self.relays.borrow(), Instant::now());
+        let detail = "there is no upstream";
+        let mut result = Err(Error::new(ErrorKind::Unreachable, detail));
+        for to in order {
+            let polled = self.poll(to).await;
+            let now = Instant::now();
+            let mut upstreams = self.upstreams.borrow_mut();
+            match polled {
+                Ok(age) if age.is_some_and(|age| age < self.timings.upstream_age) => {
+                    if upstreams.current() != Some(to) {
+                        info!("upstream is {to}");
+                    }
+                    upstreams.answered(to);
+                    return Ok(());
+                }
+                // What it sent was taken over, but another one may know more.
+                Ok(_) => {
+                    upstreams.failed(to, now);
+                    result = Ok(());
+                }
+                Err(error) => {
+                    upstreams.failed(to, now);
+                    debug!("upstream {to} failed: {error}");
+                    if result.is_err() {
+                        result = Err(error);
+                    }
+                }
+            }
+        }
+        result
+    }
+
+    /// Polls `to` once and takes over its answer; returns the age of its view.
+    ///
+    /// # Errors
+    /// The error of the exchange, or `internal` when the answer contradicts itself.
+    pub async fn poll(&self, to: SocketAddr) -> Result<Option<Duration>> {
+        let sent = Instant::now();
+        let request = self.request(to, sent);
+        let result = self.exchange(to, &request).await;
+        let mut counters = self.counters.get();
+        match &result {
+            Ok(_) => counters.polls += 1,
+            Err(_) => counters.failures += 1,
+        }
+        self.counters.set(counters);
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(error) => {
+                // The upstream may have restarted without state, so everything is sent again.
+                self.links.borrow_mut().remove(&to);
+                return Err(error);
+            }
+        };
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(to).or_default();
+        link.delivered(&request.reports, &answer.wanted, sent);
+        drop(links);
+        self.accept(answer, sent)
+    }
+
+    async fn exchange(&self, to: SocketAddr, request: &SyncRequest) -> Result<SyncAnswer> {
+        let body = encode(request)?;
+        let mut counters = self.counters.get();
+        counters.sent_bytes += body.len() as u64;
+        self.counters.set(counters);
+        let response = self
+            .client
+            .request(
+                http::Method::POST,
+                to,
+                SyncRequest::PATH,
+                &[],
+                body,
+                self.timings.poll_timeout,
+            )
+            .await?;
+        let mut counters = self.counters.get();
+        counters.received_bytes += response.body.len() as u64;
+        self.counters.set(counters);
+        if response.status == 200 {
+            return decode(&response.body);
+        }
+        Err(decode(&response.body).unwrap_or_else(|_| {
+            let detail = format!("{to} answered status {}", response.status);
+            Error::new(ErrorKind::UnknownOutcome, detail)
+        }))
+    }
+
+    fn request(&self, to: SocketAddr, now: Instant) -> SyncRequest {
+        let report = self.report.borrow();
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(to).or_default();
+        let version = self.view.version();
+        let interval = self.timings.digest_interval;
+        let own = link.update(&report, version, Duration::ZERO, now, interval);
+        let mut reports = vec![own];
+        for member in self.members.iter().flat_map(Membership::first_hand) {
+            if member.report.process == report.process {
+                continue;
+            }
+            let silence = now.saturating_duration_since(member.last_heard);
+            let version = member.confirmed_version;
+            reports.push(link.update(&member.report, version, silence, now, interval));
+        }
+        let owners = self.view.owners();
+        SyncRequest {
+            role: report.role,
+            data_centre: report.data_centre.clone(),
+            held_version: version,
+            held_owners: owners
+                .iter()
+                .map(|(duty, row)| (duty.clone(), row.version))
+                .collect(),
+            reports,
+        }
+    }
+
+    /// Takes over an answer to a poll that was sent at `sent`; returns the age of the upstream's view.
+    ///
+    /// # Errors
+    /// `internal` when the answer contradicts itself.
+    pub fn accept(&self, answer: SyncAnswer, sent: Instant) -> Result<Option<Duration>> {
+        let steps = self.steps(&answer)?;
+        if self.view.advance(&steps) {
+            debug!("configuration version is {}", self.view.version());
+        }
+        let age = answer.age_ms.map(Duration::from_millis);
+        let confirmed = age.and_then(|age| sent.checked_sub(age));
+        let newer = confirmed
+            .is_some_and(|confirmed| self.view.confirmed_at().is_none_or(|held| held < confirmed));
+        let rows = answer.owners.into_iter().map(|row| {
+            let value = OwnerValue {
+                version: row.version,
+                value: row.value.into(),
+            };
+            (row.duty, value)
+        });
+        let removed = if newer { &*answer.removed_owners } else { &[] };
+        self.view.update_owners(rows, removed);
+        if let Some(confirmed) = confirmed {
+            self.view.confirm(answer.version, confirmed);
+        }
+        if self.report.borrow().role == Role::Agent && age.is_some() {
+            *self.relays.borrow_mut() = answer.relays;
+        }
+        Ok(age.filter(|_| answer.version >= self.view.version()))
+    }
+
+    fn steps(&self, answer: &SyncAnswer) -> Result<Vec<Step>> {
+        let mut steps = Vec::new();
+        let mut current = self.view.configuration();
+        if let Some(snapshot) = &answer.snapshot
+            && snapshot.version > current.version
+        {
+            current = Rc::new((**snapshot).clone());
+            steps.push(Step {
+                configuration: Rc::clone(&current),
+                change: None,
+            });
+        }
+        for change in &answer.changes {
+            // Another answer may have brought some of the changes meanwhile.
+            if change.version > current.version {
+                current = Rc::new(apply(&current, change)?);
+                steps.push(Step {
+                    configuration: Rc::clone(&current),
+                    change: Some(Rc::new(change.clone())),
+                });
+            }
+        }
+        if current.version < answer.version {
+            let detail = format!(
+                "the answer leads to version {} instead of {}",
+                current.version, answer.version
+            );
+            return Err(Error::new(ErrorKind::Internal, detail));
+        }
+        Ok(steps)
+    }
+}
--- /dev/null
+++ b/crates/sync/src/history.rs
@@ -0,0 +1,182 @@
+//! Reading of configuration versions from the table and the object store.
+
+use std::rc::Rc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use nutmegwalk_base::ConfigVersion;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_config::Change;
+use nutmegwalk_config::Configuration;
+use nutmegwalk_config::apply;
+use nutmegwalk_store::ObjectStore;
+use nutmegwalk_store::Row;
+use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::TableStore;
+
+/// Key of the row that names the current version.
+pub const HEAD_KEY: &str = "config/head";
+/// Prefix of the rows with one change each.
+pub const CHANGE_PREFIX: &str = "config/change/";
+/// Prefix of the rows with one audit record each.
+pub const AUDIT_PREFIX: &str = "audit/";
+/// Prefix of the objects with one whole configuration each.
+pub const SNAPSHOT_PREFIX: &str = "config/snapshot/";
+/// Versions between snapshots, which bounds the changes that a fresh reader fetches.
+pub const SNAPSHOT_INTERVAL: ConfigVersion = 100;
+
+/// Content of the head row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// Current version.
+    pub version: ConfigVersion,
+}
+
+/// Content of a change row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ChangeRow {
+    /// Random tag of the write, by which its author recognises it.
+    pub writer: Box<str>,
+    /// The change.
+    pub change: Change,
+}
+
+/// Returns `prefix` with the version zero-padded, so that scans return versions in order.
+#[must_use]
+pub fn versioned_key(prefix: &str, version: ConfigVersion) -> Box<str> {
+    format!("{prefix}{version:020}").into()
+}
+
+pub(crate) fn parse<T: for<'a> Deserialize<'a>>(row: &Row) -> Result<T> {
+    serde_json::from_str(&row.value).map_err(|error| {
+        let detail = format!("row {} is malformed: {error}", row.key);
+        Error::new(ErrorKind::Internal, detail)
+    })
+}
+
+/// The stored sequence of configuration versions.
+#[derive(Clone)]
+pub struct History {
+    pub(crate) table: Rc<dyn TableStore>,
+    pub(crate) objects: Rc<dyn ObjectStore>,
+}
+
+impl History {
+    /// Creates a reader of the given stores.
+    #[must_use]
+    pub fn new(table: Rc<dyn TableStore>, objects: Rc<dyn ObjectStore>) -> Self {
+        Self { table, objects }
+    }
+
+    /// Reads the head with its row version; `None` before anything was published.
+    ///
+    /// # Errors
+    /// `store_unavailable` when the table does not answer.
+    pub async fn head(&self) -> Result<Option<(Head, RowVersion)>> {
+        let rows = self.table.get(&[HEAD_KEY.into()]).await?;
+        match rows.first().and_then(Option::as_ref) {
+            Some(row) => Ok(Some((parse(row)?, row.version))),
+            None => Ok(None),
+        }
+    }
+
+    /// Reads one change row.
+    ///
+    /// # Errors
+    /// `store_unavailable` when the table does not answer.
+    pub async fn change(&self, version: ConfigVersion) -> Result<Option<ChangeRow>> {
+        let rows = self
+            .table
+            .get(&[versioned_key(CHANGE_PREFIX, version)])
+            .await?;
+        rows.first().and_then(Option::as_ref).map(parse).transpose()
+    }
+
+    /// Returns the configurations after `held` up to version `to`, oldest first, each with the change
+    /// that led to it. The first one has no change when a snapshot was read.
+    ///
+    /// # Errors
+    /// `store_unavailable` when the stores do not answer; `internal` when rows are missing or malformed.
+    pub async fn follow(&self, held: &Configuration, to: ConfigVersion) -> Result<Vec<Step>> {
+        let mut steps = Vec::new();
+        let mut current = Rc::new(held.clone());
+        if to.saturating_sub(held.version) > SNAPSHOT_INTERVAL
+            && let Some(snapshot) = self.snapshot(held.version, to).await?
+        {
+            current = Rc::new(snapshot);
+            steps.push(Step {
+                configuration: Rc::clone(&current),
+                change: None,
+            });
+        }
+        while current.version < to {
+            let last = to.min(current.version + SNAPSHOT_INTERVAL);
+            let keys: Vec<Box<str>> = (current.version + 1..=last)
+                .map(|version| versioned_key(CHANGE_PREFIX, version))
+                .collect();
+            for (row, key) in self.table.get(&keys).await?.iter().zip(&keys) {
+                let row = row.as_ref().ok_or_else(|| {
+                    Error::new(ErrorKind::Internal, format!("row {key} is missing"))
+                })?;
+                let change = parse::<ChangeRow>(row)?.change;
+                current = Rc::new(apply(&current, &change)?);
+                steps.push(Step {
+                    configuration: Rc::clone(&current),
+                    change: Some(Rc::new(change)),
+                });
+            }
+            if current.version < last {
+                let detail = format!("the table answered too few of {} rows", keys.len());
+                return Err(Error::new(ErrorKind::Internal, detail));
+            }
+        }
+        Ok(steps)
+    }
+
+    /// Reads the newest snapshot with a version above `after` and at most `to`.
+    ///
+    /// A snapshot is written after its version was committed and may be missing after a failure of the
+    /// object store; then an older one is taken, or none.
+    async fn snapshot(
+        &self,
+        after: ConfigVersion,
+        to: ConfigVersion,
+    ) -> Result<Option<Configuration>> {
+        let mut version = to - to % SNAPSHOT_INTERVAL;
+        while version > after {
+            let name = versioned_key(SNAPSHOT_PREFIX, version);
+            if let Some(content) = self.objects.get_object(&name).await? {
+                match serde_json::from_slice::<Configuration>(&content) {
+                    Ok(snapshot) if snapshot.version == version => return Ok(Some(snapshot)),
+                    Ok(_) => log::warn!("object {name} has another version than its name"),
+                    Err(error) => log::warn!("object {name} is malformed: {error}"),
+                }
+            }
+            version = version.saturating_sub(SNAPSHOT_INTERVAL);
+        }
+        Ok(None)
+    }
+
+    /// Writes the snapshot of `configuration`.
+    ///
+    /// # Errors
+    /// `store_unavailable` when the object store does not answer.
+    pub(crate) async fn write_snapshot(&self, configuration: &Configuration) -> Result<()> {
+        let content = serde_json::to_vec(configuration)
+            .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
+        let name = versioned_key(SNAPSHOT_PREFIX, configuration.version);
+        self.objects.put_object(&name, content.into()).await
+    }
+}
+
+/// One version on the way to a newer one.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// The configuration of this version.
+    pub configuration: Rc<Configuration>,
+    /// The change that led to it, unless it was read as a snapshot.
+    pub change: Option<Rc<Change>>,
+}
