Add the platform stand-in and the HTTP client of its workers

Cause: scenarios and tests need a platform with switchable faults that runs in the same process as the product.

Workers run simulated tasks under leases and log starts and ends with the monotonic time at which they happened; overlapping_attempts and longest_partial_run judge the log. gang::HttpWorker is the client side.

--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -1,1 +1,3 @@
 //! Platform stand-in and scenario runner.
+
+pub mod platform;
--- /dev/null
+++ b/crates/scenarios/src/platform/events.rs
@@ -0,0 +1,147 @@
+//! Log of starts and ends of tasks, and the invariants that are read from it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::WorkerId;
+use nutmegwalk_gang::Attempt;
+
+/// How a task ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TaskEnd {
+    /// By itself, with success.
+    Finished,
+    /// By itself, with an error.
+    Failed,
+    /// By a command.
+    Stopped,
+    /// Because its lease lapsed.
+    LeaseLapsed,
+    /// With its worker.
+    Killed,
+}
+
+/// What happened to a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EventKind {
+    /// The task was started.
+    Started,
+    /// The task ended.
+    Ended(TaskEnd),
+}
+
+/// One start or end of a task.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Time since the stand-in was started, on a monotonic clock.
+    pub at: Duration,
+    /// Worker of the task.
+    pub worker: WorkerId,
+    /// Job of the task.
+    pub job: JobId,
+    /// Customer of the job.
+    pub customer: CustomerId,
+    /// Attempt of the gang.
+    pub attempt: Attempt,
+    /// Index of the member within the gang.
+    pub member: u32,
+    /// Number of members of the gang.
+    pub gang_size: usize,
+    /// Whether the task can be reclaimed.
+    pub borrowed: bool,
+    /// Work done so far, in milliseconds.
+    pub progress_ms: u64,
+    /// What happened.
+    pub kind: EventKind,
+}
+
+/// A task that was started while another attempt, or the same member elsewhere, was running.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Overlap {
+    /// Job that ran twice.
+    pub job: JobId,
+    /// Time of the second start.
+    pub at: Duration,
+    /// Attempt and member that was running.
+    pub running: (Attempt, u32),
+    /// Attempt and member that was started.
+    pub started: (Attempt, u32),
+}
+
+/// Returns every start of a task while another attempt of its job, or the same member, was running.
+///
+/// `events` are in order of time.
+#[must_use]
+pub fn overlapping_attempts(events: &[Event]) -> Vec<Overlap> {
+    let mut running: BTreeMap<&str, BTreeSet<(Attempt, u32, &str)>> = BTreeMap::new();
+    let mut overlaps = Vec::new();
+    for event in events {
+        let tasks = running.entry(&*event.job).or_default();
+        let task = (event.attempt, event.member, &*event.worker);
+        match event.kind {
+            EventKind::Started => {
+                let other = tasks.iter().find(|(attempt, member, _)| {
+                    *attempt != event.attempt || *member == event.member
+                });
+                if let Some((attempt, member, _)) = other {
+                    overlaps.push(Overlap {
+                        job: event.job.clone(),
+                        at: event.at,
+                        running: (*attempt, *member),
+                        started: (event.attempt, event.member),
+                    });
+                }
+                tasks.insert(task);
+            }
+            EventKind::Ended(_) => {
+                tasks.remove(&task);
+            }
+        }
+    }
+    overlaps
+}
+
+/// Returns the longest time for which some, but not all, members of an attempt were running.
+///
+/// Members that have finished by themselves count as running. `events` are in order of time, and `now`
+/// ends the time of attempts that are still running in part.
+#[must_use]
+pub fn longest_partial_run(events: &[Event], now: Duration) -> Duration {
+    #[derive(Default)]
+    struct Gang {
+        running: BTreeSet<u32>,
+        finished: BTreeSet<u32>,
+        partial_since: Option<Duration>,
+    }
+    let mut gangs: BTreeMap<(&str, Attempt), Gang> = BTreeMap::new();
+    let mut longest = Duration::ZERO;
+    for event in events {
+        let gang = gangs.entry((&*event.job, event.attempt)).or_default();
+        match event.kind {
+            EventKind::Started => {
+                gang.running.insert(event.member);
+            }
+            EventKind::Ended(end) => {
+                gang.running.remove(&event.member);
+                if end == TaskEnd::Finished {
+                    gang.finished.insert(event.member);
+                }
+            }
+        }
+        let is_partial =
+            !gang.running.is_empty() && gang.running.len() + gang.finished.len() < event.gang_size;
+        if is_partial {
+            gang.partial_since.get_or_insert(event.at);
+        } else if let Some(since) = gang.partial_since.take() {
+            longest = longest.max(event.at.saturating_sub(since));
+        }
+    }
+    gangs
+        .values()
+        .filter_map(|gang| gang.partial_since)
+        .map(|since| now.saturating_sub(since))
+        .fold(longest, Duration::max)
+}
--- /dev/null
+++ b/crates/scenarios/tests/platform_workers.rs
@@ -0,0 +1,200 @@
+//! Tests of the worker stand-ins, their HTTP client and the judges of the event log.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_gang::Attempt;
+use nutmegwalk_gang::HttpWorker;
+use nutmegwalk_gang::TaskMetadata;
+use nutmegwalk_gang::TaskState;
+use nutmegwalk_gang::TaskStatus;
+use nutmegwalk_gang::WorkerApi;
+use nutmegwalk_net::Client;
+use nutmegwalk_scenarios::platform::Event;
+use nutmegwalk_scenarios::platform::EventKind;
+use nutmegwalk_scenarios::platform::Platform;
+use nutmegwalk_scenarios::platform::TaskEnd;
+use nutmegwalk_scenarios::platform::WorkerSize;
+use nutmegwalk_scenarios::platform::longest_partial_run;
+use nutmegwalk_scenarios::platform::overlapping_attempts;
+
+/// Generous limit for a state that is expected to be reached.
+const LIMIT: Duration = Duration::from_secs(30);
+/// A lease that no test outlives.
+const LONG: Duration = Duration::from_secs(600);
+const FOREVER: &str = r#"{"work_ms":100000000}"#;
+const FIRST: Attempt = Attempt {
+    epoch: 1,
+    sequence: 1,
+};
+const SECOND: Attempt = Attempt {
+    epoch: 1,
+    sequence: 2,
+};
+
+fn task(job: &str, attempt: Attempt, member: u32, payload: &str) -> TaskMetadata {
+    TaskMetadata {
+        job: job.into(),
+        attempt,
+        member,
+        customer: "c".into(),
+        borrowed: false,
+        agents: vec![SocketAddr::from(([127, 0, 0, 1], 1)); 2],
+        cores: 4,
+        memory_mb: 1000,
+        accelerators: 4,
+        payload: payload.into(),
+        checkpoint_ms: 0,
+    }
+}
+
+fn platform() -> (Platform, HttpWorker, HttpWorker) {
+    let platform = Platform::start(1).unwrap();
+    let [first, second] = ["w1", "w2"].map(|name| {
+        platform.add_worker(name, WorkerSize::PLANK);
+        let client = Client::new("agent", Secret::new("s")).unwrap();
+        HttpWorker::new(client, platform.address(), name).with_timeout(LIMIT)
+    });
+    (platform, first, second)
+}
+
+/// Waits until the only task of `worker` is no longer running.
+async fn wait_for_end(worker: &HttpWorker) -> TaskStatus {
+    let started = Instant::now();
+    loop {
+        let mut tasks = worker.list().await.unwrap();
+        assert_eq!(tasks.len(), 1);
+        if tasks[0].state != TaskState::Running {
+            return tasks.remove(0);
+        }
+        assert!(started.elapsed() < LIMIT);
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn kinds(events: &[Event]) -> Vec<EventKind> {
+    events.iter().map(|event| event.kind).collect()
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[rstest::rstest] fn $name() { compio::runtime::Runtime::new().unwrap().block_on(async $body) })*
+    };
+}
+
+cases! {
+    // Guards against a repeated start that runs a task twice.
+    repeated_start_runs_once => {
+        let (platform, worker, _) = platform();
+        let work = task("j", FIRST, 0, r#"{"work_ms":30}"#);
+        worker.start(&work, LONG).await.unwrap();
+        worker.start(&work, LONG).await.unwrap();
+        let status = wait_for_end(&worker).await;
+        assert_eq!((status.state, status.progress_ms), (TaskState::Finished, 30));
+        worker.start(&work, LONG).await.unwrap();
+        let events = platform.events();
+        assert_eq!(kinds(&events), [EventKind::Started, EventKind::Ended(TaskEnd::Finished)]);
+        assert_eq!(events[1].at - events[0].at, Duration::from_millis(30));
+        worker.stop("j", FIRST, 0).await.unwrap();
+        worker.stop("j", FIRST, 0).await.unwrap();
+        assert!(worker.list().await.unwrap().is_empty());
+        assert_eq!(platform.events().len(), 2);
+    }
+
+    // Guards against a failure that looks like success.
+    failing_program_is_reported => {
+        let (_platform, worker, _) = platform();
+        worker.start(&task("j", FIRST, 0, r#"{"work_ms":0,"fail":true}"#), LONG).await.unwrap();
+        assert_eq!(wait_for_end(&worker).await.state, TaskState::Failed);
+        let error = worker.start(&task("k", FIRST, 0, "nonsense"), LONG).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::BadRequest);
+    }
+
+    // Guards against a task that outlives its lease.
+    lapsed_lease_stops_the_task => {
+        let (platform, worker, _) = platform();
+        worker.start(&task("j", FIRST, 0, FOREVER), Duration::from_millis(50)).await.unwrap();
+        assert_eq!(wait_for_end(&worker).await.state, TaskState::Stopped);
+        let error = worker.renew("j", FIRST, 0, LONG).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::NotFound);
+        let events = platform.events();
+        assert_eq!(events[1].kind, EventKind::Ended(TaskEnd::LeaseLapsed));
+        assert_eq!(events[1].at - events[0].at, Duration::from_millis(50));
+    }
+
+    // Guards against renewals and checkpoints without effect.
+    renewed_task_resumes_from_its_checkpoint => {
+        let (_platform, worker, _) = platform();
+        worker.start(&task("j", FIRST, 0, FOREVER), Duration::from_secs(60)).await.unwrap();
+        worker.renew("j", FIRST, 0, LONG).await.unwrap();
+        compio::time::sleep(Duration::from_millis(20)).await;
+        worker.throttle("j", FIRST, 0, 0).await.unwrap();
+        let checkpoint_ms = worker.checkpoint("j", FIRST, 0).await.unwrap();
+        assert!(checkpoint_ms >= 20);
+        compio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(worker.checkpoint("j", FIRST, 0).await.unwrap(), checkpoint_ms);
+        worker.stop("j", FIRST, 0).await.unwrap();
+        let resumed = TaskMetadata { checkpoint_ms, ..task("j", SECOND, 0, FOREVER) };
+        worker.start(&resumed, LONG).await.unwrap();
+        assert!(worker.list().await.unwrap()[0].progress_ms >= checkpoint_ms);
+    }
+
+    // Guards against more work on a worker than it has resources for.
+    full_worker_refuses => {
+        let (_platform, worker, _) = platform();
+        worker.start(&task("j", FIRST, 0, FOREVER), LONG).await.unwrap();
+        worker.start(&task("j", FIRST, 1, FOREVER), LONG).await.unwrap();
+        let error = worker.start(&task("k", FIRST, 0, FOREVER), LONG).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::InsufficientResources);
+    }
+
+    // Guards against faults of one worker that show on another, or that leave tasks behind.
+    faults_are_those_of_one_worker => {
+        let (platform, worker, other) = platform();
+        let hasty = worker.clone().with_timeout(Duration::from_millis(100));
+        platform.set_worker_faults("w1", |faults| faults.fails_starts = true).unwrap();
+        assert!(worker.start(&task("j", FIRST, 0, FOREVER), LONG).await.is_err());
+        platform.set_worker_faults("w1", |faults| {
+            faults.fails_starts = false;
+            faults.silent = true;
+        }).unwrap();
+        let error = hasty.start(&task("j", FIRST, 0, FOREVER), LONG).await.unwrap_err();
+        assert_eq!(error.kind, ErrorKind::UnknownOutcome);
+        other.start(&task("j", FIRST, 0, FOREVER), LONG).await.unwrap();
+        platform.set_worker_faults("w1", |faults| {
+            faults.silent = false;
+            faults.checkpoint_delay = Duration::from_millis(100);
+        }).unwrap();
+        worker.start(&task("k", FIRST, 0, FOREVER), LONG).await.unwrap();
+        assert!(worker.checkpoint("k", FIRST, 0).await.unwrap() >= 100);
+        platform.kill_worker("w1").unwrap();
+        assert_eq!(worker.list().await.unwrap_err().kind, ErrorKind::Unreachable);
+        platform.restart_worker("w1").unwrap();
+        assert!(worker.list().await.unwrap().is_empty());
+        let killed = EventKind::Ended(TaskEnd::Killed);
+        assert_eq!(kinds(&platform.events()), [EventKind::Started, EventKind::Started, killed]);
+        assert_eq!(platform.set_worker_faults("w9", |_| {}).unwrap_err().kind, ErrorKind::NotFound);
+    }
+
+    // Guards against a judge that misses two attempts of a job at once, or a gang that runs in part.
+    judges_find_violations => {
+        let (platform, worker, other) = platform();
+        worker.start(&task("j", FIRST, 0, FOREVER), LONG).await.unwrap();
+        compio::time::sleep(Duration::from_millis(20)).await;
+        other.start(&task("j", FIRST, 1, FOREVER), LONG).await.unwrap();
+        assert!(overlapping_attempts(&platform.events()).is_empty());
+        let partial = longest_partial_run(&platform.events(), platform.now());
+        assert!(partial >= Duration::from_millis(20));
+        worker.stop("j", FIRST, 0).await.unwrap();
+        worker.start(&task("j", SECOND, 0, FOREVER), LONG).await.unwrap();
+        let overlaps = overlapping_attempts(&platform.events());
+        assert_eq!(overlaps.len(), 1);
+        assert_eq!((overlaps[0].running, overlaps[0].started), ((FIRST, 1), (SECOND, 0)));
+        other.stop("j", FIRST, 1).await.unwrap();
+        other.start(&task("j", SECOND, 0, FOREVER), LONG).await.unwrap();
+        assert_eq!(overlapping_attempts(&platform.events()).len(), 2);
+    }
+}
