Add the gang protocol: agent, lead, owner's driver and reports

Cause: crates/gang had the worker interface only; nothing could start a gang. Change: messages for the /v1/gang paths; GangAgent (reserve, bind, start, renew, end, checkpoint, throttle, stop, abort, report, recover), the lead's rounds, GangDriver with the life cycle Reserved, Bound, Running, Stopped as types, and Rebuild, which tells a new owner what may still run. Requests are repeated while their outcome is unknown.

--- /dev/null
+++ b/crates/gang/src/agent/lead.rs
@@ -0,0 +1,314 @@
+//! Lead of a gang: starts all members in parallel and renews the gang.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use futures_util::future::join_all;
+use futures_util::future::select;
+use futures_util::future::try_join_all;
+use log::info;
+use log::warn;
+
+use super::GangAgent;
+use super::state::Key;
+use super::state::Pending;
+use super::state::Phase;
+use super::state::closed_error;
+use crate::GangEnd;
+use crate::MemberReport;
+use crate::TaskState;
+use crate::exchange::send_until;
+use crate::messages::Bind;
+use crate::messages::EndMembers;
+use crate::messages::Renew;
+use crate::messages::Start;
+use crate::messages::StartAnswer;
+use crate::messages::StartMembers;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+
+/// What one renewal round says about the gang.
+enum Round {
+    /// Every agent answered and every task runs or has finished.
+    Whole,
+    /// An agent did not answer.
+    Silent,
+    /// The gang must end.
+    Over(GangEnd),
+}
+
+impl GangAgent {
+    /// Starts the whole gang; repeats wait for the same start.
+    pub(super) async fn start(&self, message: Start) -> Result<StartAnswer> {
+        let key = (message.job, message.attempt);
+        self.shared.state.borrow().check_open(&key)?;
+        let repeated = self.with_gang(&key, |gang| gang.gang_start.clone());
+        if let Some(start) = repeated.flatten() {
+            return Ok(start.await);
+        }
+        self.check_start(message.epoch)?;
+        let start: Pending<StartAnswer> = {
+            let mut state = self.shared.state.borrow_mut();
+            let Some(gang) = state.gangs.get_mut(&key) else {
+                return Err(closed_error(&key));
+            };
+            let bind = match (gang.phase, &gang.bind) {
+                (Phase::Bound { .. }, Some(bind)) => Rc::clone(bind),
+                _ => return Err(closed_error(&key)),
+            };
+            if bind.agents.first() != Some(&self.shared.address) {
+                return Err(Error::new(
+                    ErrorKind::BadRequest,
+                    "this agent is not the lead of the gang",
+                ));
+            }
+            let agent = self.clone();
+            let key = key.clone();
+            let start = async move { agent.start_gang(key, message.epoch, bind).await }
+                .boxed_local()
+                .shared();
+            gang.gang_start = Some(start.clone());
+            start
+        };
+        // The start goes on when the request that asked for it is dropped.
+        compio::runtime::spawn(start.clone().map(drop)).detach();
+        Ok(start.await)
+    }
+
+    async fn start_gang(&self, key: Key, epoch: Epoch, bind: Rc<Bind>) -> StartAnswer {
+        let members = by_agent(&bind);
+        let message = StartMembers {
+            job: key.0.clone(),
+            attempt: key.1,
+            epoch,
+        };
+        let deadline = Instant::now() + self.timings().step;
+        let starts = members.keys().map(|agent| async {
+            let started = if *agent == self.shared.address {
+                self.start_members(message.clone()).await
+            } else {
+                self.send(*agent, &message, deadline).await
+            };
+            started.map_err(|error| (*agent, error))
+        });
+        if let Err((agent, error)) = try_join_all(starts).await {
+            warn!(
+                "job {} attempt {:?}: {agent} did not start: {error}",
+                key.0, key.1
+            );
+            self.end(&key, GangEnd::Failed);
+            self.spawn_end(key, members, GangEnd::Failed);
+            return StartAnswer::Failed { agent, error };
+        }
+        info!("job {} attempt {:?} runs", key.0, key.1);
+        self.spawn_lead(key, members, true);
+        StartAnswer::Started
+    }
+
+    /// Resumes the lead of a gang whose tasks were running before this agent restarted.
+    pub(super) fn rejoin_as_lead(&self, key: Key, bind: &Bind) {
+        self.spawn_lead(key, by_agent(bind), false);
+    }
+
+    fn spawn_lead(&self, key: Key, members: BTreeMap<SocketAddr, Vec<u32>>, started: bool) {
+        let agent = self.clone();
+        compio::runtime::spawn(async move {
+            if let Some(end) = agent.lead(&key, &members, started).await {
+                agent.end(&key, end);
+                agent.spawn_end(key, members, end);
+            }
+        })
+        .detach();
+    }
+
+    /// Renews the gang until it ends; `None` when the agent shuts down.
+    ///
+    /// `started` says that all members answered just now; a lead that rejoins does not know and asks
+    /// for the states first.
+    async fn lead(
+        &self,
+        key: &Key,
+        members: &BTreeMap<SocketAddr, Vec<u32>>,
+        started: bool,
+    ) -> Option<GangEnd> {
+        let interval = self.timings().renew_interval;
+        let mut heard: BTreeMap<SocketAddr, Instant> = members
+            .keys()
+            .map(|agent| (*agent, Instant::now()))
+            .collect();
+        let mut extend = started;
+        let mut round = self.with_gang(key, |gang| gang.round)?;
+        let mut next = Instant::now();
+        if started {
+            next += interval;
+        }
+        loop {
+            let ending = self.with_gang(key, |gang| gang.ending.clone())?;
+            let pause = next.saturating_duration_since(Instant::now());
+            select(
+                std::pin::pin!(compio::time::sleep(pause)),
+                std::pin::pin!(ending.started()),
+            )
+            .await;
+            if self.shared.shutdown.is_started() {
+                return None;
+            }
+            let phase = self.with_gang(key, |gang| gang.phase)?;
+            match phase {
+                Phase::Running { .. } => {}
+                Phase::Ending { end, .. } | Phase::Ended { end, .. } => return Some(end),
+                Phase::Reserved { .. } | Phase::Bound { .. } => return Some(GangEnd::Lost),
+            }
+            next = Instant::now() + interval;
+            round += 1;
+            match self
+                .round(key, members, &mut heard, &mut round, extend)
+                .await
+            {
+                Round::Whole => extend = true,
+                Round::Silent => extend = false,
+                Round::Over(end) => return Some(end),
+            }
+        }
+    }
+
+    async fn round(
+        &self,
+        key: &Key,
+        members: &BTreeMap<SocketAddr, Vec<u32>>,
+        heard: &mut BTreeMap<SocketAddr, Instant>,
+        round: &mut u64,
+        extend: bool,
+    ) -> Round {
+        let timings = self.timings();
+        let message = Renew {
+            job: key.0.clone(),
+            attempt: key.1,
+            round: *round,
+            extend,
+        };
+        let sent = Instant::now();
+        let requests = members.keys().map(|agent| async {
+            let answer = if *agent == self.shared.address {
+                self.renew(message.clone()).await
+            } else {
+                let limit = timings.renew_interval;
+                self.shared.client.send(*agent, &message, limit).await
+            };
+            (*agent, answer)
+        });
+        let mut whole = true;
+        let mut all_finished = true;
+        for (agent, answer) in join_all(requests).await {
+            match answer {
+                Ok(answer) => {
+                    heard.insert(agent, sent);
+                    *round = answer.round.max(*round);
+                    match verdict(&members[&agent], &answer.members) {
+                        Ok(finished) => all_finished &= finished,
+                        Err(end) => return Round::Over(end),
+                    }
+                }
+                Err(error) if error.kind == ErrorKind::AttemptClosed => {
+                    warn!(
+                        "job {} attempt {:?}: {agent} has no such gang",
+                        key.0, key.1
+                    );
+                    return Round::Over(GangEnd::Lost);
+                }
+                Err(error) => {
+                    warn!("job {} attempt {:?}: {agent}: {error}", key.0, key.1);
+                    whole = false;
+                    all_finished = false;
+                    if heard
+                        .get(&agent)
+                        .is_none_or(|heard| heard.elapsed() >= timings.lease)
+                    {
+                        return Round::Over(GangEnd::Lost);
+                    }
+                }
+            }
+        }
+        match (all_finished, whole) {
+            (true, _) => Round::Over(GangEnd::Finished),
+            (false, true) => Round::Whole,
+            (false, false) => Round::Silent,
+        }
+    }
+
+    /// Tells all other agents of the gang to stop; silent ones stop when their lease lapses.
+    fn spawn_end(&self, key: Key, members: BTreeMap<SocketAddr, Vec<u32>>, end: GangEnd) {
+        let agent = self.clone();
+        compio::runtime::spawn(async move {
+            let message = EndMembers {
+                job: key.0,
+                attempt: key.1,
+                end,
+            };
+            let deadline = Instant::now() + agent.timings().lease;
+            let sends = members
+                .keys()
+                .filter(|member| **member != agent.shared.address)
+                .map(|member| agent.send(*member, &message, deadline));
+            for result in join_all(sends).await {
+                if let Err(error) = result {
+                    warn!("job {} attempt {:?}: {error}", message.job, message.attempt);
+                }
+            }
+        })
+        .detach();
+    }
+
+    async fn send<M: nutmegwalk_net::Message>(
+        &self,
+        to: SocketAddr,
+        message: &M,
+        deadline: Instant,
+    ) -> Result<M::Answer> {
+        let exchange: Duration = self.timings().exchange;
+        send_until(&self.shared.client, to, message, exchange, deadline, || {
+            if self.shared.shutdown.is_started() {
+                return Err(Error::new(
+                    ErrorKind::DeadlineExceeded,
+                    "the agent is shutting down",
+                ));
+            }
+            Ok(())
+        })
+        .await
+    }
+}
+
+/// Returns whether all of an agent's members have finished, or how the gang must end.
+fn verdict(members: &[u32], reports: &[MemberReport]) -> Result<bool, GangEnd> {
+    // An agent whose final report was acknowledged answers an empty list for finished tasks.
+    if reports.is_empty() {
+        return Ok(true);
+    }
+    let mut finished = true;
+    for member in members {
+        let report = reports.iter().find(|report| report.member == *member);
+        match report.and_then(|report| report.state) {
+            Some(TaskState::Running) => finished = false,
+            Some(TaskState::Finished) => {}
+            Some(TaskState::Failed) => return Err(GangEnd::Failed),
+            Some(TaskState::Stopped) | None => return Err(GangEnd::Lost),
+        }
+    }
+    Ok(finished)
+}
+
+/// Groups the members of a gang by agent.
+fn by_agent(bind: &Bind) -> BTreeMap<SocketAddr, Vec<u32>> {
+    let mut members: BTreeMap<SocketAddr, Vec<u32>> = BTreeMap::new();
+    for (member, agent) in (0..).zip(&bind.agents) {
+        members.entry(*agent).or_default().push(member);
+    }
+    members
+}
--- /dev/null
+++ b/crates/gang/src/agent/member.rs
@@ -0,0 +1,395 @@
+//! Life cycle of a gang's members on this agent's worker.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use futures_util::future::join_all;
+use futures_util::future::try_join_all;
+use log::info;
+use log::warn;
+
+use super::GangAgent;
+use super::state::Key;
+use super::state::Pending;
+use super::state::Phase;
+use super::state::closed_error;
+use crate::GangEnd;
+use crate::TaskMetadata;
+use crate::TaskState;
+use crate::messages::Bind;
+use crate::messages::EndMembers;
+use crate::messages::Renew;
+use crate::messages::RenewAnswer;
+use crate::messages::Reserve;
+use crate::messages::StartMembers;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::backoff::Backoff;
+
+impl GangAgent {
+    /// Sets resources aside until the reservation lapses.
+    pub(super) fn reserve(&self, message: Reserve) -> Result<()> {
+        self.check_start(message.epoch)?;
+        if message.attempt.epoch != message.epoch || message.members.is_empty() {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                "a reservation needs members and an attempt of its own epoch",
+            ));
+        }
+        let key = (message.job, message.attempt);
+        let lease = Duration::from_millis(message.lease_ms).min(self.timings().reservation);
+        let created = self.shared.state.borrow_mut().reserve(
+            &key,
+            message.members,
+            Instant::now() + lease,
+            self.shared.capacity.get(),
+        )?;
+        if created {
+            self.watch(key);
+        }
+        Ok(())
+    }
+
+    /// Keeps reserved resources for the lead's start.
+    pub(super) fn bind(&self, message: Bind) -> Result<()> {
+        self.check_start(message.epoch)?;
+        let key = (message.job.clone(), message.attempt);
+        let now = Instant::now();
+        let mut state = self.shared.state.borrow_mut();
+        state.check_open(&key)?;
+        let Some(gang) = state.gangs.get_mut(&key) else {
+            return Err(closed_error(&key));
+        };
+        match gang.phase {
+            Phase::Reserved { until } if now < until => {}
+            Phase::Bound { .. } | Phase::Running { .. } => return Ok(()),
+            _ => return Err(closed_error(&key)),
+        }
+        let members = gang.members.iter();
+        let is_lead = message.agents.first() == Some(&self.shared.address);
+        if message.agents.is_empty()
+            || is_lead
+                && !members
+                    .clone()
+                    .all(|spec| (spec.member as usize) < message.agents.len())
+        {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                "the bind names no agent for a member",
+            ));
+        }
+        gang.bind = Some(Rc::new(message));
+        gang.phase = Phase::Bound {
+            until: now + self.timings().lease,
+        };
+        state.sequence += 1;
+        Ok(())
+    }
+
+    /// Starts the tasks on this worker; repeats wait for the same start.
+    pub(super) async fn start_members(&self, message: StartMembers) -> Result<()> {
+        let key = (message.job, message.attempt);
+        if let Some(start) = self.started_members(&key) {
+            return start.await;
+        }
+        self.check_start(message.epoch)?;
+        let start = {
+            let now = Instant::now();
+            let timings = self.timings();
+            let mut state = self.shared.state.borrow_mut();
+            state.check_open(&key)?;
+            let Some(gang) = state.gangs.get_mut(&key) else {
+                return Err(closed_error(&key));
+            };
+            let Some(bind) = gang.bind.clone() else {
+                return Err(closed_error(&key));
+            };
+            match gang.phase {
+                Phase::Bound { until } if now < until => {}
+                _ => return Err(closed_error(&key)),
+            }
+            gang.phase = Phase::Running {
+                until: now + timings.lease,
+                held_until: now + timings.step + timings.lease,
+            };
+            let members = gang.members.clone();
+            let agent = self.clone();
+            let start: Pending<Result<()>> = async move {
+                let tasks = members.iter().map(|spec| TaskMetadata {
+                    job: bind.job.clone(),
+                    attempt: bind.attempt,
+                    member: spec.member,
+                    customer: bind.customer.clone(),
+                    borrowed: bind.borrowed,
+                    // Only member 0 carries the whole list, from which a lead that restarts rejoins;
+                    // a list at each task would grow with the square of the gang.
+                    agents: if spec.member == 0 {
+                        bind.agents.clone()
+                    } else {
+                        bind.agents.iter().take(1).copied().collect()
+                    },
+                    cores: spec.cores,
+                    memory_mb: spec.memory_mb,
+                    accelerators: spec.accelerators,
+                    payload: bind.payload.clone(),
+                    checkpoint_ms: bind.checkpoint_ms,
+                });
+                let tasks: Vec<TaskMetadata> = tasks.collect();
+                let starts = tasks.iter().map(|task| async {
+                    let start = agent.shared.worker.start(task, timings.lease);
+                    agent.bounded(start).await
+                });
+                // All starts are waited for, because a start that is still under way would land
+                // after the stop that follows a failure.
+                join_all(starts).await.into_iter().collect()
+            }
+            .boxed_local()
+            .shared();
+            gang.members_start = Some(start.clone());
+            state.sequence += 1;
+            start
+        };
+        // The start goes on when the request that asked for it is dropped.
+        compio::runtime::spawn(start.clone().map(drop)).detach();
+        let result = start.await;
+        if let Err(error) = &result {
+            warn!("job {} attempt {:?}: start failed: {error}", key.0, key.1);
+            self.end(&key, GangEnd::Failed);
+        }
+        result
+    }
+
+    fn started_members(&self, key: &Key) -> Option<Pending<Result<()>>> {
+        let state = self.shared.state.borrow();
+        let gang = state.gangs.get(key)?;
+        match gang.phase {
+            Phase::Running { .. } => gang.members_start.clone(),
+            _ => None,
+        }
+    }
+
+    /// Reports the tasks and renews them if the lead asks for it.
+    pub(super) async fn renew(&self, message: Renew) -> Result<RenewAnswer> {
+        let key = (message.job, message.attempt);
+        let timings = self.timings();
+        if !self.is_running(&key) {
+            return self.final_states(&key);
+        }
+        let list = self.bounded(self.shared.worker.list()).await?;
+        let sent = Instant::now();
+        let (answer, running) = {
+            let mut state = self.shared.state.borrow_mut();
+            let Some(gang) = state.gangs.get_mut(&key) else {
+                return Err(closed_error(&key));
+            };
+            let Phase::Running { until, held_until } = &mut gang.phase else {
+                drop(state);
+                return self.final_states(&key);
+            };
+            // A renewal that was delayed on its way must not extend the lease once a later round has
+            // been seen.
+            let extend = message.extend && message.round > gang.round && sent < *until;
+            if extend {
+                gang.round = message.round;
+                *until = sent + timings.lease;
+                *held_until = sent + timings.step + timings.lease;
+            }
+            gang.update(&key, &list);
+            let answer = RenewAnswer {
+                round: gang.round,
+                members: gang.tasks.clone(),
+            };
+            let running = gang.tasks.iter();
+            let running = running.filter(|task| task.state == Some(TaskState::Running));
+            let running: Vec<u32> = running.map(|task| task.member).collect();
+            if !extend || !gang.is_healthy() {
+                return Ok(answer);
+            }
+            (answer, running)
+        };
+        let renewals = running.iter().map(|member| {
+            let worker = &self.shared.worker;
+            self.bounded(worker.renew(&key.0, key.1, *member, timings.lease))
+        });
+        try_join_all(renewals).await?;
+        self.with_gang(&key, |gang| {
+            if let Phase::Running { held_until, .. } = &mut gang.phase {
+                *held_until = Instant::now() + timings.lease;
+            }
+        });
+        Ok(answer)
+    }
+
+    fn is_running(&self, key: &Key) -> bool {
+        let running = self.with_gang(key, |gang| matches!(gang.phase, Phase::Running { .. }));
+        running == Some(true)
+    }
+
+    fn final_states(&self, key: &Key) -> Result<RenewAnswer> {
+        let state = self.shared.state.borrow();
+        let (round, mut members) = match state.gangs.get(key) {
+            Some(gang) if matches!(gang.phase, Phase::Ending { .. } | Phase::Ended { .. }) => {
+                (gang.round, gang.tasks.clone())
+            }
+            None if state.closed_end(key) == Some(GangEnd::Finished) => (0, Vec::new()),
+            _ => return Err(closed_error(key)),
+        };
+        // A task that is being stopped no longer counts as running.
+        for member in &mut members {
+            if member.state == Some(TaskState::Running) {
+                member.state = Some(TaskState::Stopped);
+            }
+        }
+        Ok(RenewAnswer { round, members })
+    }
+
+    /// Stops the tasks because the lead ended the gang.
+    pub(super) async fn end_members(&self, message: EndMembers) -> Result<()> {
+        let key = (message.job, message.attempt);
+        if let Some(stop) = self.end(&key, message.end) {
+            stop.await;
+        }
+        Ok(())
+    }
+
+    /// Ends the gang on this agent and closes the attempt; returns the stop of its tasks.
+    pub(super) fn end(&self, key: &Key, end: GangEnd) -> Option<Pending<()>> {
+        let mut state = self.shared.state.borrow_mut();
+        state.close(key, end, self.timings().tombstone);
+        let gang = state.gangs.get_mut(key)?;
+        match gang.phase {
+            Phase::Reserved { .. } | Phase::Bound { .. } => {
+                gang.ending.start();
+                state.gangs.remove(key);
+                return None;
+            }
+            Phase::Ending { .. } | Phase::Ended { .. } => return gang.stop.clone(),
+            Phase::Running { held_until, .. } => gang.phase = Phase::Ending { end, held_until },
+        }
+        info!("job {} attempt {:?} ends: {end:?}", key.0, key.1);
+        gang.ending.start();
+        let agent = self.clone();
+        let key = key.clone();
+        let stop = async move { agent.stop_tasks(&key, end).await }
+            .boxed_local()
+            .shared();
+        gang.stop = Some(stop.clone());
+        drop(state);
+        compio::runtime::spawn(stop.clone()).detach();
+        Some(stop)
+    }
+
+    /// Stops all tasks of a gang; returns once they are stopped or their worker's lease has lapsed.
+    async fn stop_tasks(&self, key: &Key, end: GangEnd) {
+        let start = self
+            .with_gang(key, |gang| gang.members_start.clone())
+            .flatten();
+        let unsure = match start {
+            Some(start) => start.await.is_err(),
+            None => false,
+        };
+        let held_until = self.with_gang(key, |gang| match gang.phase {
+            Phase::Ending { held_until, .. } => held_until,
+            _ => Instant::now(),
+        });
+        let held_until = held_until.unwrap_or_else(Instant::now);
+        if let Ok(list) = self.bounded(self.shared.worker.list()).await {
+            self.with_gang(key, |gang| gang.update(key, &list));
+        }
+        let mut backoff = Backoff::new(self.timings().exchange / 8, self.timings().exchange);
+        loop {
+            // Finished tasks stay on the worker until the owner has acknowledged the final report,
+            // so that an agent that restarts can report them again.
+            let running = self.with_gang(key, |gang| {
+                let ended = [Some(TaskState::Finished), Some(TaskState::Stopped)];
+                let tasks = gang.tasks.iter();
+                let tasks =
+                    tasks.filter(|task| end != GangEnd::Finished || !ended.contains(&task.state));
+                tasks.map(|task| task.member).collect::<Vec<u32>>()
+            });
+            let stops = running
+                .into_iter()
+                .flatten()
+                .map(|member| self.bounded(self.shared.worker.stop(&key.0, key.1, member)));
+            let stopped = join_all(stops).await.into_iter().all(|stop| stop.is_ok());
+            // A start whose outcome is unknown can still land after a stop.
+            if stopped && !unsure || Instant::now() >= held_until {
+                break;
+            }
+            compio::time::sleep(backoff.next_delay()).await;
+        }
+        let mut state = self.shared.state.borrow_mut();
+        state.sequence += 1;
+        let sequence = state.sequence;
+        if let Some(gang) = state.gangs.get_mut(key) {
+            for task in &mut gang.tasks {
+                if task.state == Some(TaskState::Running) {
+                    task.state = Some(TaskState::Stopped);
+                }
+            }
+            gang.phase = Phase::Ended { end, sequence };
+        }
+    }
+
+    /// Removes ended tasks from the worker's list.
+    pub(super) fn forget(&self, attempts: Vec<(Key, Vec<u32>)>) {
+        let agent = self.clone();
+        compio::runtime::spawn(async move {
+            for (key, members) in attempts {
+                for member in members {
+                    let _ = agent
+                        .bounded(agent.shared.worker.stop(&key.0, key.1, member))
+                        .await;
+                }
+            }
+        })
+        .detach();
+    }
+
+    /// Ends the gang on this agent when its reservation, bind or lease lapses.
+    pub(super) fn watch(&self, key: Key) {
+        let agent = self.clone();
+        compio::runtime::spawn(async move {
+            while !agent.shared.shutdown.is_started() {
+                let until = agent.with_gang(&key, |gang| match gang.phase {
+                    Phase::Reserved { until }
+                    | Phase::Bound { until }
+                    | Phase::Running { until, .. } => Some(until),
+                    Phase::Ending { .. } | Phase::Ended { .. } => None,
+                });
+                let Some(until) = until.flatten() else {
+                    return;
+                };
+                let left = until.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    agent.end(&key, GangEnd::Lapsed);
+                    return;
+                }
+                compio::time::sleep(left).await;
+            }
+        })
+        .detach();
+    }
+
+    pub(super) fn with_gang<T>(
+        &self,
+        key: &Key,
+        f: impl FnOnce(&mut super::state::Gang) -> T,
+    ) -> Option<T> {
+        self.shared.state.borrow_mut().gangs.get_mut(key).map(f)
+    }
+
+    /// Bounds a call to the worker by the length of a step.
+    pub(super) async fn bounded<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
+        match compio::time::timeout(self.timings().step, call).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::new(
+                ErrorKind::UnknownOutcome,
+                format!("worker {} did not answer", self.shared.worker.worker()),
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gang/src/driver/handle.rs
@@ -0,0 +1,173 @@
+//! A gang as its owner holds it, in one state of its life cycle.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::Attempt;
+use crate::MemberReport;
+use crate::MemberSpec;
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::WorkerId;
+
+/// One member of a gang and where it runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GangMember {
+    /// Index and resources of the member.
+    pub spec: MemberSpec,
+    /// Agent beside the worker.
+    pub agent: SocketAddr,
+    /// Worker that runs the member.
+    pub worker: WorkerId,
+}
+
+/// A gang to start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GangSpec {
+    /// Job of the gang.
+    pub job: JobId,
+    /// Attempt; greater than all earlier attempts of the job.
+    pub attempt: Attempt,
+    /// Customer of the job.
+    pub customer: CustomerId,
+    /// Whether the tasks run beyond the customer's guarantee.
+    pub borrowed: bool,
+    /// Payload of the job.
+    pub payload: Box<str>,
+    /// Work done at the checkpoint to resume from, in milliseconds.
+    pub checkpoint_ms: u64,
+    /// Members 0, 1, … in order; the agent of member 0 leads.
+    pub members: Vec<GangMember>,
+}
+
+/// A start that did not succeed; the attempt is closed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StartFailure {
+    /// Worker that refused or failed, if the failure is one worker's.
+    pub worker: Option<WorkerId>,
+    /// What went wrong.
+    pub error: Error,
+    /// Whether it is certain that no part of the gang runs; only then may the job be started again.
+    pub is_settled: bool,
+}
+
+/// All members are reserved.
+#[derive(Debug)]
+pub struct Reserved;
+/// All members are bound, and the lead is named.
+#[derive(Debug)]
+pub struct Bound;
+/// All members run.
+#[derive(Debug)]
+pub struct Running;
+/// The gang was told to stop.
+#[derive(Debug)]
+pub struct Stopped {
+    pub(super) members: Vec<MemberReport>,
+    pub(super) is_settled: bool,
+}
+
+/// A gang in one state of its life cycle.
+#[derive(Debug)]
+pub struct GangHandle<S> {
+    pub(super) plan: Rc<Plan>,
+    pub(super) state: S,
+}
+
+/// What a handle's commands need.
+#[derive(Debug)]
+pub(super) struct Plan {
+    pub(super) spec: GangSpec,
+    /// Epoch of the commands: the attempt's, or a later one for an adopted gang.
+    pub(super) epoch: Epoch,
+    pub(super) by_agent: BTreeMap<SocketAddr, Vec<MemberSpec>>,
+}
+
+impl<S> GangHandle<S> {
+    /// Returns what was asked for.
+    #[must_use]
+    pub fn spec(&self) -> &GangSpec {
+        &self.plan.spec
+    }
+
+    pub(super) fn into_state<T>(self, state: T) -> GangHandle<T> {
+        GangHandle {
+            plan: self.plan,
+            state,
+        }
+    }
+}
+
+impl GangHandle<Stopped> {
+    /// Returns the work that every member's last checkpoint contains, in milliseconds; `None` unless
+    /// all members were reported.
+    #[must_use]
+    pub fn checkpoint_ms(&self) -> Option<u64> {
+        if self.state.members.len() < self.plan.spec.members.len() {
+            return None;
+        }
+        let members = self.state.members.iter();
+        members.map(|member| member.checkpoint_ms).min()
+    }
+
+    /// Returns the last states of the members that were reported.
+    #[must_use]
+    pub fn members(&self) -> &[MemberReport] {
+        &self.state.members
+    }
+
+    /// Returns whether it is certain that no part of the gang runs.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.state.is_settled
+    }
+}
+
+impl Plan {
+    pub(super) fn new(spec: GangSpec, epoch: Epoch) -> Self {
+        let mut by_agent: BTreeMap<SocketAddr, Vec<MemberSpec>> = BTreeMap::new();
+        for member in &spec.members {
+            by_agent.entry(member.agent).or_default().push(member.spec);
+        }
+        Self {
+            spec,
+            epoch,
+            by_agent,
+        }
+    }
+
+    pub(super) fn check(&self) -> Result<()> {
+        let in_order = (0..)
+            .zip(&self.spec.members)
+            .all(|(index, member)| index == member.spec.member);
+        if self.spec.members.is_empty() || !in_order {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                "a gang needs members that are numbered from 0 in order",
+            ));
+        }
+        Ok(())
+    }
+
+    pub(super) fn key(&self) -> (JobId, Attempt) {
+        (self.spec.job.clone(), self.spec.attempt)
+    }
+
+    pub(super) fn lead(&self) -> Option<SocketAddr> {
+        self.spec.members.first().map(|member| member.agent)
+    }
+
+    pub(super) fn worker(&self, agent: SocketAddr) -> Option<WorkerId> {
+        let member = self
+            .spec
+            .members
+            .iter()
+            .find(|member| member.agent == agent)?;
+        Some(member.worker.clone())
+    }
+}
--- /dev/null
+++ b/crates/gang/src/permission.rs
@@ -0,0 +1,13 @@
+//! Start permission, given by the process's view of the configuration.
+
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Result;
+
+/// Decides whether a command of the owner with `epoch` may reserve, bind or start tasks now.
+pub trait StartPermission {
+    /// Refuses while the view is old, the data centre is out, or the epoch was superseded.
+    ///
+    /// # Errors
+    /// `stale_view`, `data_centre_out` or `stale_epoch`.
+    fn check(&self, epoch: Epoch) -> Result<()>;
+}
