--- /dev/null
+++ b/crates/fleet/src/share.rs
@@ -0,0 +1,68 @@
+//! Weighted fair share between customers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nutmegwalk_base::CustomerId;
+
+/// Time in which past use loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(24 * 3600);
+
+#[derive(Clone, Debug)]
+struct Customer {
+    weight: u32,
+    /// Accelerator-seconds used beyond guarantees, decayed.
+    used: f64,
+    /// Accelerators in use beyond guarantees.
+    accelerators: u64,
+    updated: Duration,
+}
+
+/// Use of all customers beyond their guarantees.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Shares {
+    customers: BTreeMap<CustomerId, Customer>,
+}
+
+impl Shares {
+    fn customer(&mut self, id: &CustomerId, now: Duration) -> &mut Customer {
+        let customer = self.customers.entry(id.clone()).or_insert(Customer {
+            weight: 1,
+            used: 0.0,
+            accelerators: 0,
+            updated: now,
+        });
+        let elapsed = now.saturating_sub(customer.updated).as_secs_f64();
+        customer.used *= 0.5_f64.powf(elapsed / HALF_LIFE.as_secs_f64());
+        customer.used += customer.accelerators as f64 * elapsed;
+        customer.updated = customer.updated.max(now);
+        customer
+    }
+
+    /// Sets the weight of a customer; zero counts as one.
+    pub(crate) fn set_weight(&mut self, id: &CustomerId, weight: u32, now: Duration) {
+        self.customer(id, now).weight = weight.max(1);
+    }
+
+    /// Counts accelerators that a customer takes beyond its guarantees from now on.
+    pub(crate) fn add(&mut self, id: &CustomerId, accelerators: u64, now: Duration) {
+        self.customer(id, now).accelerators += accelerators;
+    }
+
+    /// Stops counting accelerators.
+    pub(crate) fn remove(&mut self, id: &CustomerId, accelerators: u64, now: Duration) {
+        let customer = self.customer(id, now);
+        customer.accelerators = customer.accelerators.saturating_sub(accelerators);
+    }
+
+    /// Returns the use of a customer divided by its weight; the lowest goes first.
+    pub(crate) fn level(&mut self, id: &CustomerId, now: Duration) -> f64 {
+        let customer = self.customer(id, now);
+        customer.used / f64::from(customer.weight)
+    }
+
+    /// Returns the weight of a customer.
+    pub(crate) fn weight(&self, id: &CustomerId) -> u32 {
+        self.customers.get(id).map_or(1, |customer| customer.weight)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/worker.rs
@@ -0,0 +1,132 @@
+//! Workers and their free capacity, computed from what was placed on them.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::Shape;
+use crate::WorkerSpec;
+use nutmegwalk_base::RackId;
+use nutmegwalk_base::WorkerId;
+
+/// A worker with everything placed on it.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) id: WorkerId,
+    pub(crate) rack: usize,
+    pub(crate) capacity: Shape,
+    /// Taken by tasks that were told to start and have not ended.
+    pub(crate) used: Shape,
+    /// Part of `used` that was told to stop.
+    pub(crate) stopping: Shape,
+    /// Promised to jobs that wait until other tasks have stopped.
+    pub(crate) claimed: Shape,
+    /// Taken by parts of guarantees.
+    pub(crate) reserved: Shape,
+    /// Part of `reserved` that guaranteed tasks take or have claimed.
+    pub(crate) reserved_used: Shape,
+    /// Tasks by sequence number of their job.
+    pub(crate) tasks: BTreeMap<u64, u32>,
+    /// Whether the platform offers the worker.
+    pub(crate) present: bool,
+    /// Whether the worker's health allows reservations on it.
+    pub(crate) healthy: bool,
+    /// Whether tasks or a size from outside take more than the worker has.
+    pub(crate) overcommitted: bool,
+}
+
+impl Worker {
+    /// Returns whether reservations and any job may use the worker.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.present && self.healthy
+    }
+
+    /// Returns what no task takes.
+    pub(crate) fn free(&self) -> Shape {
+        self.capacity.minus(self.used)
+    }
+
+    /// Returns what no task takes and no waiting job claims.
+    pub(crate) fn available(&self) -> Shape {
+        self.capacity.minus(self.used.plus(self.claimed))
+    }
+
+    /// Returns what will be free and unclaimed once all stopping tasks have ended.
+    pub(crate) fn available_after_stops(&self) -> Shape {
+        self.capacity
+            .minus(self.used.minus(self.stopping).plus(self.claimed))
+    }
+
+    /// Returns the reserved resources that guaranteed tasks do not take.
+    pub(crate) fn unfilled(&self) -> Shape {
+        self.reserved.minus(self.reserved_used)
+    }
+}
+
+/// All workers of the data centre; indices stay valid.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Workers {
+    pub(crate) list: Vec<Worker>,
+    by_id: HashMap<WorkerId, usize>,
+    racks: HashMap<RackId, usize>,
+}
+
+impl Workers {
+    /// Returns the index of a worker.
+    pub(crate) fn index(&self, id: &str) -> Option<usize> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the number of racks seen so far.
+    pub(crate) fn rack_count(&self) -> usize {
+        self.racks.len()
+    }
+
+    /// Adds a worker or changes its size and rack; returns its index.
+    pub(crate) fn upsert(&mut self, spec: &WorkerSpec) -> usize {
+        let next_rack = self.racks.len();
+        let rack = *self.racks.entry(spec.rack.clone()).or_insert(next_rack);
+        if let Some(index) = self.index(&spec.id) {
+            let worker = &mut self.list[index];
+            worker.rack = rack;
+            worker.capacity = spec.shape;
+            worker.present = true;
+            worker.overcommitted |= !worker.used.fits(spec.shape);
+            return index;
+        }
+        let index = self.list.len();
+        self.by_id.insert(spec.id.clone(), index);
+        self.list.push(Worker {
+            id: spec.id.clone(),
+            rack,
+            capacity: spec.shape,
+            used: Shape::default(),
+            stopping: Shape::default(),
+            claimed: Shape::default(),
+            reserved: Shape::default(),
+            reserved_used: Shape::default(),
+            tasks: BTreeMap::new(),
+            present: true,
+            healthy: true,
+            overcommitted: false,
+        });
+        index
+    }
+
+    /// Books tasks of a job on a worker.
+    pub(crate) fn occupy(&mut self, index: usize, job: u64, shape: Shape, tasks: u32) {
+        let worker = &mut self.list[index];
+        worker.used = worker.used.plus(shape.times(tasks));
+        *worker.tasks.entry(job).or_default() += tasks;
+        worker.overcommitted |= !worker.used.fits(worker.capacity);
+    }
+
+    /// Frees what a job took on a worker.
+    pub(crate) fn release(&mut self, index: usize, job: u64, shape: Shape, tasks: u32) {
+        let worker = &mut self.list[index];
+        worker.used = worker.used.minus(shape.times(tasks));
+        worker.tasks.remove(&job);
+        if worker.used.fits(worker.capacity) {
+            worker.overcommitted = false;
+        }
+    }
+}
