--- a/crates/sync/tests/common/mod.rs
+++ b/crates/sync/tests/common/mod.rs
@@ -86,6 +86,8 @@
 pub struct FaultyTable {
     pub store: Rc<MemoryStore>,
     pub down: Cell<bool>,
+    /// Whether reads never end.
+    pub hang: Cell<bool>,
     pub faults: RefCell<VecDeque<StoreFault>>,
     pub gets: Cell<usize>,
     pub scans: Cell<usize>,
@@ -131,6 +133,9 @@
         async move {
             self.gets.set(self.gets.get() + 1);
             self.rows_read.set(self.rows_read.get() + keys.len());
+            if self.hang.get() {
+                std::future::pending::<()>().await;
+            }
             if self.down.get() {
                 return unavailable();
             }
