--- /dev/null
+++ b/crates/calls/tests/common/mod.rs
@@ -0,0 +1,146 @@
+//! Agents, entry hosts and a faulty store for the tests and the measurement program.
+// Each test file uses a part of this module.
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+pub mod backend;
+pub mod store;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegwalk_base::Incarnation;
+use nutmegwalk_base::new_incarnation;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_calls::CallRequest;
+use nutmegwalk_calls::Claims;
+use nutmegwalk_calls::Router;
+use nutmegwalk_calls::RouterSettings;
+use nutmegwalk_calls::ServerEntry;
+use nutmegwalk_calls::ServerSlots;
+use nutmegwalk_calls::SlotSettings;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Handler;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_net::Server;
+use nutmegwalk_net::ServerLimits;
+
+pub use backend::Backend;
+pub use backend::Behaviour;
+
+/// Limit of every wait, far above what any machine needs.
+pub const GENEROUS: Duration = Duration::from_secs(30);
+
+pub fn client() -> Client {
+    Client::new("entry", Secret::new("s")).unwrap()
+}
+
+struct AgentHandler(ServerSlots);
+
+impl Handler for AgentHandler {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        let response = self.0.handle(&request).await;
+        response.unwrap_or_else(|| Response::new(404, ""))
+    }
+}
+
+pub struct Agent {
+    pub address: SocketAddr,
+    pub incarnation: Incarnation,
+    pub slots: ServerSlots,
+    pub drain: Drain,
+    served: compio::runtime::JoinHandle<()>,
+}
+
+impl Agent {
+    pub async fn start() -> Self {
+        Self::start_at("127.0.0.1:0".parse().unwrap()).await
+    }
+
+    pub async fn start_at(address: SocketAddr) -> Self {
+        // Tests announce once, so a server does not fall silent by itself.
+        let settings = SlotSettings {
+            silence_limit: Duration::from_secs(3600),
+            ..SlotSettings::default()
+        };
+        Self::start_with(address, settings).await
+    }
+
+    pub async fn start_with(address: SocketAddr, settings: SlotSettings) -> Self {
+        let server = Server::bind(address, ServerLimits::default())
+            .await
+            .unwrap();
+        let address = server.local_address();
+        let incarnation = new_incarnation();
+        let slots = ServerSlots::new(incarnation, Secret::new("s"), settings);
+        let drain = Drain::new();
+        let handler = Rc::new(AgentHandler(slots.clone()));
+        let served = compio::runtime::spawn(server.serve(handler, drain.clone()));
+        Self {
+            address,
+            incarnation,
+            slots,
+            drain,
+            served,
+        }
+    }
+
+    pub async fn with_backend(backend: &Backend, slots: u32) -> Self {
+        let agent = Self::start().await;
+        agent.slots.announce(backend.announcement(slots)).unwrap();
+        agent
+    }
+
+    pub fn entry(&self) -> ServerEntry {
+        self.entry_in("centre-1", "region-1")
+    }
+
+    pub fn entry_in(&self, data_centre: &str, region: &str) -> ServerEntry {
+        let report = self.slots.report().unwrap();
+        report.into_entry(self.address, data_centre, region)
+    }
+
+    /// Closes the listener and waits for the requests in flight.
+    pub async fn stop(self) {
+        self.drain.start();
+        self.served.await.unwrap();
+    }
+}
+
+pub fn router(agents: &[&Agent], claims: Option<Claims>) -> Router {
+    let settings = RouterSettings::new("centre-1", "region-1");
+    router_with(settings, agents, claims)
+}
+
+pub fn router_with(settings: RouterSettings, agents: &[&Agent], claims: Option<Claims>) -> Router {
+    let router = Router::new(client(), settings, claims);
+    router.update_servers(agents.iter().map(|agent| agent.entry()).collect());
+    router
+}
+
+pub fn request(body: &str) -> CallRequest {
+    CallRequest::new("valmiera", "saw", "/cut", body.to_string(), GENEROUS)
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < GENEROUS, "still waiting: {what}");
+        compio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+pub fn block_on(test: impl Future<Output = ()>) {
+    compio::runtime::Runtime::new().unwrap().block_on(test);
+}
+
+#[macro_export]
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[rstest::rstest] fn $name() { $crate::common::block_on(async $body) })*
+    };
+}
