--- a/crates/calls/tests/common/mod.rs
+++ b/crates/calls/tests/common/mod.rs
@@ -5,16 +5,24 @@
 pub mod backend;
 pub mod store;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::new_incarnation;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_calls::CallRequest;
 use nutmegwalk_calls::Claims;
+use nutmegwalk_calls::ClaimsSettings;
+use nutmegwalk_calls::Repeat;
 use nutmegwalk_calls::Router;
 use nutmegwalk_calls::RouterSettings;
 use nutmegwalk_calls::ServerEntry;
@@ -30,6 +38,7 @@
 
 pub use backend::Backend;
 pub use backend::Behaviour;
+pub use store::FaultyStore;
 
 /// Limit of every wait, far above what any machine needs.
 pub const GENEROUS: Duration = Duration::from_secs(30);
@@ -38,11 +47,12 @@
     Client::new("entry", Secret::new("s")).unwrap()
 }
 
-struct AgentHandler(ServerSlots);
+struct AgentHandler(RefCell<ServerSlots>);
 
 impl Handler for AgentHandler {
     async fn handle(self: Rc<Self>, request: Request) -> Response {
-        let response = self.0.handle(&request).await;
+        let slots = self.0.borrow().clone();
+        let response = slots.handle(&request).await;
         response.unwrap_or_else(|| Response::new(404, ""))
     }
 }
@@ -52,6 +62,7 @@
     pub incarnation: Incarnation,
     pub slots: ServerSlots,
     pub drain: Drain,
+    handler: Rc<AgentHandler>,
     served: compio::runtime::JoinHandle<()>,
 }
 
@@ -77,13 +88,15 @@
         let incarnation = new_incarnation();
         let slots = ServerSlots::new(incarnation, Secret::new("s"), settings);
         let drain = Drain::new();
-        let handler = Rc::new(AgentHandler(slots.clone()));
-        let served = compio::runtime::spawn(server.serve(handler, drain.clone()));
+        let handler = Rc::new(AgentHandler(RefCell::new(slots.clone())));
+        let serve = server.serve(Rc::clone(&handler), drain.clone());
+        let served = compio::runtime::spawn(serve);
         Self {
             address,
             incarnation,
             slots,
             drain,
+            handler,
             served,
         }
     }
@@ -94,6 +107,18 @@
         agent
     }
 
+    /// Takes the place of an agent that restarted at the same address and lost all its memory.
+    pub fn restart(&mut self, backend: &Backend, slots: u32) {
+        self.incarnation = new_incarnation();
+        let settings = SlotSettings {
+            silence_limit: Duration::from_secs(3600),
+            ..SlotSettings::default()
+        };
+        self.slots = ServerSlots::new(self.incarnation, Secret::new("s"), settings);
+        self.slots.announce(backend.announcement(slots)).unwrap();
+        self.handler.0.replace(self.slots.clone());
+    }
+
     pub fn entry(&self) -> ServerEntry {
         self.entry_in("centre-1", "region-1")
     }
@@ -125,6 +150,64 @@
     CallRequest::new("valmiera", "saw", "/cut", body.to_string(), GENEROUS)
 }
 
+/// Returns claims in `store`.
+pub fn claims(store: &Rc<FaultyStore>, settings: ClaimsSettings) -> Claims {
+    Claims::new(Rc::clone(store) as _, Rc::clone(store) as _, settings)
+}
+
+/// A fresh key with `random` as its second part.
+pub fn key(random: &str) -> Box<str> {
+    key_of_age(random, Duration::ZERO)
+}
+
+pub fn key_of_age(random: &str, age: Duration) -> Box<str> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    format!("{}-{random}", (now - age).as_millis()).into()
+}
+
+/// A request that may run at most once.
+pub fn once(key: &str, body: &str) -> CallRequest {
+    request(body).with_repeat(Repeat::Never { key: key.into() })
+}
+
+/// Drops `future` when it has been polled a number of times, as the end of its process would.
+pub struct KillAfterPolls<F> {
+    future: Option<Pin<Box<F>>>,
+    polls: u32,
+}
+
+impl<F: Future> KillAfterPolls<F> {
+    pub fn new(future: F, polls: u32) -> Self {
+        Self {
+            future: Some(Box::pin(future)),
+            polls,
+        }
+    }
+}
+
+impl<F: Future> Future for KillAfterPolls<F> {
+    type Output = Option<F::Output>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        if self.polls == 0 {
+            self.future = None;
+        }
+        let Some(future) = &mut self.future else {
+            return Poll::Ready(None);
+        };
+        let result = future.as_mut().poll(context);
+        self.polls -= 1;
+        match result {
+            Poll::Ready(output) => Poll::Ready(Some(output)),
+            Poll::Pending if self.polls == 0 => {
+                self.future = None;
+                Poll::Ready(None)
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
 /// Waits until `condition` holds.
 pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
     let start = Instant::now();
