Cover long pauses of single processes in the lease tests

Change: a test of a pause before the answer to a takeover; the random orders now pause single processes while the others work.

--- a/crates/lease/tests/orders.rs
+++ b/crates/lease/tests/orders.rs
@@ -24,6 +24,8 @@
     Proceed(usize, Fault),
     /// One process works without faults until it has nothing to do.
     Settle(usize),
+    /// One process is paused while the others work, or resumed.
+    Freeze(usize, bool),
     /// A write that was on its way takes effect.
     Late(usize),
     /// One process is asked to release.
@@ -47,6 +49,8 @@
         1 => (700_u64..6000).prop_map(Event::Pause),
         50 => (0_usize..3, fault()).prop_map(|(index, fault)| Event::Proceed(index, fault)),
         40 => (0_usize..3).prop_map(Event::Settle),
+        4 => (0_usize..3, proptest::bool::weighted(0.3))
+            .prop_map(|(index, frozen)| Event::Freeze(index, frozen)),
         4 => (0_usize..8).prop_map(Event::Late),
         2 => (0_usize..3).prop_map(Event::Release),
         3 => (0_usize..3).prop_map(Event::Restart),
@@ -59,10 +63,13 @@
     let mut processes: Vec<Process> = (1..=3).map(Process::new).collect();
     let mut incarnations = vec![1, 2, 3];
     let mut next_incarnation = 4;
+    let mut is_frozen = [false; 3];
     let mut holders: BTreeMap<u64, u64> = BTreeMap::new();
     for event in events {
         match event {
             Event::Pause(time_ms) => world.advance(*time_ms),
+            Event::Proceed(index, _) | Event::Settle(index) if is_frozen[*index] => {}
+            Event::Freeze(index, frozen) => is_frozen[*index] = *frozen,
             Event::Proceed(index, fault) => {
                 processes[*index].proceed(&mut world, *fault);
             }
@@ -76,6 +83,7 @@
             Event::Release(index) => processes[*index].state.release(),
             Event::Restart(index) => {
                 processes[*index] = Process::new(next_incarnation);
+                is_frozen[*index] = false;
                 incarnations[*index] = next_incarnation;
                 next_incarnation += 1;
             }
--- a/crates/lease/tests/protocol.rs
+++ b/crates/lease/tests/protocol.rs
@@ -89,6 +89,21 @@
         assert_eq!(first.epoch(&world), None);
     }
 
+    // Guards against a takeover whose lease is counted from the answer, which can come long after the
+    // write took effect.
+    pause_before_the_answer_to_a_takeover_costs_lease_time => {
+        let mut world = World::new();
+        let mut first = Process::new(1);
+        for _ in 0..5 {
+            assert!(first.proceed(&mut world, Fault::None));
+        }
+        world.advance(3900);
+        assert!(first.proceed(&mut world, Fault::None));
+        assert_eq!(first.epoch(&world), Some(1));
+        world.advance(100);
+        assert_eq!(first.epoch(&world), None);
+    }
+
     // Guards against a contender that counts from before it read, and so from before the renewal.
     contender_counts_from_the_answer => {
         let (mut world, mut first, _) = held();
