--- a/crates/gang/src/agent/lead.rs
+++ b/crates/gang/src/agent/lead.rs
@@ -88,7 +88,8 @@
             attempt: key.1,
             epoch,
         };
-        let deadline = Instant::now() + self.timings().step;
+        let began = Instant::now();
+        let deadline = began + self.timings().step;
         let starts = members.keys().map(|agent| async {
             let started = if *agent == self.shared.address {
                 self.start_members(message.clone()).await
@@ -107,19 +108,24 @@
             return StartAnswer::Failed { agent, error };
         }
         info!("job {} attempt {:?} runs", key.0, key.1);
-        self.spawn_lead(key, members, true);
+        self.spawn_lead(key, members, Some(began));
         StartAnswer::Started
     }
 
     /// Resumes the lead of a gang whose tasks were running before this agent restarted.
     pub(super) fn rejoin_as_lead(&self, key: Key, bind: &Bind) {
-        self.spawn_lead(key, by_agent(bind), false);
+        self.spawn_lead(key, by_agent(bind), None);
     }
 
-    fn spawn_lead(&self, key: Key, members: BTreeMap<SocketAddr, Vec<u32>>, started: bool) {
+    fn spawn_lead(
+        &self,
+        key: Key,
+        members: BTreeMap<SocketAddr, Vec<u32>>,
+        began: Option<Instant>,
+    ) {
         let agent = self.clone();
         compio::runtime::spawn(async move {
-            if let Some(end) = agent.lead(&key, &members, started).await {
+            if let Some(end) = agent.lead(&key, &members, began).await {
                 agent.end(&key, end);
                 agent.spawn_end(key, members, end);
             }
@@ -129,27 +135,26 @@
 
     /// Renews the gang until it ends; `None` when the agent shuts down.
     ///
-    /// `started` says that all members answered just now; a lead that rejoins does not know and asks
-    /// for the states first.
+    /// `began` is when the start that all members have answered began: their first leases count from
+    /// then, and so do the rounds. A lead that rejoins has none and asks for the states first.
     async fn lead(
         &self,
         key: &Key,
         members: &BTreeMap<SocketAddr, Vec<u32>>,
-        started: bool,
+        began: Option<Instant>,
     ) -> Option<GangEnd> {
         let interval = self.timings().renew_interval;
         let mut heard: BTreeMap<SocketAddr, Instant> = members
             .keys()
             .map(|agent| (*agent, Instant::now()))
             .collect();
-        let mut extend = started;
-        let mut round = self.with_gang(key, |gang| gang.round)?;
-        let mut next = Instant::now();
-        if started {
-            next += interval;
-        }
+        let mut extend = began.is_some();
+        let mut round = 0;
+        let mut next = began.map_or_else(Instant::now, |began| began + interval);
         loop {
-            let ending = self.with_gang(key, |gang| gang.ending.clone())?;
+            let Some(ending) = self.with_gang(key, |gang| gang.ending.clone()) else {
+                return Some(GangEnd::Lost);
+            };
             let pause = next.saturating_duration_since(Instant::now());
             select(
                 std::pin::pin!(compio::time::sleep(pause)),
@@ -159,11 +164,12 @@
             if self.shared.shutdown.is_started() {
                 return None;
             }
-            let phase = self.with_gang(key, |gang| gang.phase)?;
-            match phase {
-                Phase::Running { .. } => {}
-                Phase::Ending { end, .. } | Phase::Ended { end, .. } => return Some(end),
-                Phase::Reserved { .. } | Phase::Bound { .. } => return Some(GangEnd::Lost),
+            match self.with_gang(key, |gang| gang.phase) {
+                Some(Phase::Running { .. }) => {}
+                Some(Phase::Ending { end, .. } | Phase::Ended { end, .. }) => return Some(end),
+                Some(Phase::Reserved { .. } | Phase::Bound { .. }) | None => {
+                    return Some(GangEnd::Lost);
+                }
             }
             next = Instant::now() + interval;
             round += 1;
--- a/crates/gang/src/agent/member.rs
+++ b/crates/gang/src/agent/member.rs
@@ -82,8 +82,10 @@
             ));
         }
         gang.bind = Some(Rc::new(message));
+        let timings = self.timings();
         gang.phase = Phase::Bound {
-            until: now + self.timings().lease,
+            start_until: now + timings.reservation,
+            until: now + timings.reservation.max(timings.lease),
         };
         state.sequence += 1;
         Ok(())
@@ -108,7 +110,7 @@
                 return Err(closed_error(&key));
             };
             match gang.phase {
-                Phase::Bound { until } if now < until => {}
+                Phase::Bound { start_until, .. } if now < start_until => {}
                 _ => return Err(closed_error(&key)),
             }
             gang.phase = Phase::Running {
@@ -334,6 +336,13 @@
         }
     }
 
+    /// Ends all gangs on this agent, for an agent that had no confirmed view for too long.
+    pub async fn end_all(&self) {
+        let keys: Vec<Key> = self.shared.state.borrow().gangs.keys().cloned().collect();
+        let stops = keys.iter().filter_map(|key| self.end(key, GangEnd::Lapsed));
+        join_all(stops.collect::<Vec<_>>()).await;
+    }
+
     /// Removes ended tasks from the worker's list.
     pub(super) fn forget(&self, attempts: Vec<(Key, Vec<u32>)>) {
         let agent = self.clone();
@@ -356,7 +365,7 @@
             while !agent.shared.shutdown.is_started() {
                 let until = agent.with_gang(&key, |gang| match gang.phase {
                     Phase::Reserved { until }
-                    | Phase::Bound { until }
+                    | Phase::Bound { until, .. }
                     | Phase::Running { until, .. } => Some(until),
                     Phase::Ending { .. } | Phase::Ended { .. } => None,
                 });
--- a/crates/gang/src/agent/state.rs
+++ b/crates/gang/src/agent/state.rs
@@ -64,8 +64,11 @@
 pub(crate) enum Phase {
     /// The reservation lapses at `until`.
     Reserved { until: Instant },
-    /// The bind lapses at `until`.
-    Bound { until: Instant },
+    /// Tasks may be started before `start_until`; the resources are held until `until`.
+    Bound {
+        start_until: Instant,
+        until: Instant,
+    },
     /// Tasks may run.
     Running {
         /// When the agent stops its tasks unless renewed, counted from before the last renewal.
--- a/crates/gang/src/driver.rs
+++ b/crates/gang/src/driver.rs
@@ -2,12 +2,14 @@
 
 mod handle;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -36,6 +38,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::backoff::Backoff;
 use nutmegwalk_net::Client;
 use nutmegwalk_net::Drain;
 use nutmegwalk_net::Message;
@@ -49,13 +52,16 @@
 pub use handle::StartFailure;
 pub use handle::Stopped;
 
+/// Cancel signals of the starts in progress.
+type Starting = HashMap<(JobId, Attempt), Weak<Drain>>;
+
 /// Starts and stops gangs for the owner of a data centre; clones share the starts in progress.
 #[derive(Clone)]
 pub struct GangDriver {
     client: Client,
     timings: GangTimings,
     permission: Option<Rc<dyn StartPermission>>,
-    starting: Rc<RefCell<HashMap<(JobId, Attempt), Drain>>>,
+    starting: Rc<RefCell<Starting>>,
 }
 
 impl fmt::Debug for GangDriver {
@@ -105,8 +111,8 @@
     /// Cancels a start in progress, which then fails; returns whether there is one.
     pub fn cancel(&self, job: &str, attempt: Attempt) -> bool {
         let starting = self.starting.borrow();
-        let cancel = starting.get(&(job.into(), attempt));
-        if let Some(cancel) = cancel {
+        let cancel = starting.get(&(job.into(), attempt)).and_then(Weak::upgrade);
+        if let Some(cancel) = &cancel {
             cancel.start();
         }
         cancel.is_some()
@@ -136,8 +142,11 @@
             });
         }
         let lease_ms = u64::try_from(self.timings.reservation.as_millis()).unwrap_or(u64::MAX);
-        let key = plan.key();
-        self.starting.borrow_mut().insert(key, Drain::new());
+        {
+            let mut starting = self.starting.borrow_mut();
+            starting.retain(|_, cancel| cancel.strong_count() > 0);
+            starting.insert(plan.key(), Rc::downgrade(&plan.cancel));
+        }
         // Half a step, because a failed reservation is retried elsewhere while urgent work waits.
         let limit = self.timings.step / 2;
         let step = self.each(&plan, limit, |_, members| Reserve {
@@ -220,6 +229,7 @@
     /// Aborts a gang that was not started.
     pub async fn abort<S>(&self, gang: GangHandle<S>) -> GangHandle<Stopped> {
         let is_settled = self.abort_all(&gang.plan, true).await;
+        self.starting.borrow_mut().remove(&gang.plan.key());
         gang.into_state(Stopped {
             members: Vec::new(),
             is_settled,
@@ -345,12 +355,7 @@
         is_start: bool,
     ) -> Result<(), StartFailure> {
         let key = plan.key();
-        let cancel = self
-            .starting
-            .borrow()
-            .get(&key)
-            .cloned()
-            .unwrap_or_default();
+        let cancel = &plan.cancel;
         let result = if cancel.is_started() {
             Err(None)
         } else {
@@ -382,13 +387,24 @@
             attempt: plan.spec.attempt,
             epoch: plan.epoch,
         };
-        // Without a start nothing can run, and what an agent that is silent holds lapses by itself.
-        let limit = if may_have_started {
-            self.timings.quiet() + self.timings.step
+        let answers = if may_have_started {
+            self.close(plan, &message).await
         } else {
-            self.timings.exchange
+            // Without a start nothing can run, and what a silent agent holds lapses by itself.
+            let deadline = Instant::now() + self.timings.exchange;
+            let exchange = self.timings.exchange;
+            let sends = plan.by_agent.keys().map(|agent| {
+                send_until(
+                    &self.client,
+                    *agent,
+                    &message,
+                    exchange,
+                    deadline,
+                    || Ok(()),
+                )
+            });
+            join_all(sends).await
         };
-        let answers = self.close(plan, &message, limit).await;
         is_settled(&answers, may_have_started)
     }
 
@@ -398,44 +414,55 @@
             attempt: plan.spec.attempt,
             epoch: plan.epoch,
         };
-        let limit = self.timings.quiet() + self.timings.step;
-        let answers = self.close(plan, &message, limit).await;
+        let answers = self.close(plan, &message).await;
         let is_settled = is_settled(&answers, true);
         let mut members: Vec<MemberReport> = answers.into_iter().flatten().flatten().collect();
         members.sort_by_key(|member| member.member);
         (members, is_settled)
     }
 
-    /// Sends `message` to all agents until each has answered or was silent for `limit`.
-    async fn close<M: Message>(
-        &self,
-        plan: &Plan,
-        message: &M,
-        limit: Duration,
-    ) -> Vec<Result<M::Answer>> {
+    /// Sends `message` to all agents until each has answered or has been silent for the quiet time.
+    ///
+    /// The quiet time counts from the first answer: until an agent has closed the attempt, its lead
+    /// may renew a gang whose agents the owner cannot reach.
+    async fn close<M: Message>(&self, plan: &Plan, message: &M) -> Vec<Result<M::Answer>> {
+        let quiet = self.timings.quiet();
         let exchange = self.timings.exchange;
-        let deadline = Instant::now() + limit;
-        let sends = plan
-            .by_agent
-            .keys()
-            .map(|agent| send_until(&self.client, *agent, message, exchange, deadline, || Ok(())));
+        let deadline = Cell::new(Instant::now() + quiet);
+        let is_first = Cell::new(true);
+        let sends = plan.by_agent.keys().map(|agent| async {
+            let mut backoff = Backoff::new(exchange / 32, exchange);
+            loop {
+                let answer = self.client.send(*agent, message, exchange).await;
+                match &answer {
+                    Ok(_) => {
+                        if is_first.replace(false) {
+                            deadline.set(Instant::now() + quiet);
+                        }
+                        return answer;
+                    }
+                    Err(error) if is_refusal(error.kind) => return answer,
+                    Err(_) if Instant::now() >= deadline.get() => return answer,
+                    Err(_) => compio::time::sleep(backoff.next_delay()).await,
+                }
+            }
+        });
         join_all(sends).await
     }
 }
 
+/// Returns whether an agent will never obey this owner.
+fn is_refusal(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::StaleEpoch | ErrorKind::Unauthenticated)
+}
+
 /// Returns whether no part of the gang can run, after agents were told to close it.
 ///
 /// A gang with one closed member is not renewed, so the tasks of silent agents have ended by their
 /// leases; if no agent answered, a started gang may go on without the owner.
 fn is_settled<T>(answers: &[Result<T>], may_have_started: bool) -> bool {
-    let refused = |answer: &Result<T>| {
-        let kind = answer.as_ref().err().map(|error| error.kind);
-        matches!(
-            kind,
-            Some(ErrorKind::StaleEpoch | ErrorKind::Unauthenticated)
-        )
-    };
-    if answers.iter().any(refused) {
+    let mut errors = answers.iter().filter_map(|answer| answer.as_ref().err());
+    if errors.any(|error| is_refusal(error.kind)) {
         return false;
     }
     !may_have_started || answers.iter().any(Result::is_ok)
--- a/crates/gang/src/driver/handle.rs
+++ b/crates/gang/src/driver/handle.rs
@@ -14,6 +14,7 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::WorkerId;
+use nutmegwalk_net::Drain;
 
 /// One member of a gang and where it runs.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -86,6 +87,8 @@
     /// Epoch of the commands: the attempt's, or a later one for an adopted gang.
     pub(super) epoch: Epoch,
     pub(super) by_agent: BTreeMap<SocketAddr, Vec<MemberSpec>>,
+    /// Starts when the start is cancelled.
+    pub(super) cancel: Rc<Drain>,
 }
 
 impl<S> GangHandle<S> {
@@ -138,6 +141,7 @@
             spec,
             epoch,
             by_agent,
+            cancel: Rc::default(),
         }
     }
 
--- a/crates/gang/src/timings.rs
+++ b/crates/gang/src/timings.rs
@@ -36,9 +36,11 @@
 }
 
 impl GangTimings {
-    /// Returns the silence after which an agent can neither run nor start a gang that it was part of.
+    /// Returns the silence after which an agent can neither run nor start a gang that it was part of:
+    /// a bind can be started for the length of a reservation, the worker may take a step to start
+    /// the task, and the task then runs for one gang lease.
     #[must_use]
     pub fn quiet(&self) -> Duration {
-        self.lease + self.reservation
+        self.reservation + self.step + self.lease
     }
 }
