--- a/crates/gang/src/agent/lead.rs
+++ b/crates/gang/src/agent/lead.rs
@@ -19,12 +19,12 @@
 use super::state::Phase;
 use super::state::closed_error;
 use crate::GangEnd;
-use crate::MemberReport;
-use crate::TaskState;
 use crate::exchange::send_until;
 use crate::messages::Bind;
 use crate::messages::EndMembers;
+use crate::messages::MembersState;
 use crate::messages::Renew;
+use crate::messages::RenewAnswer;
 use crate::messages::Start;
 use crate::messages::StartAnswer;
 use crate::messages::StartMembers;
@@ -216,7 +216,7 @@
                 Ok(answer) => {
                     heard.insert(agent, sent);
                     *round = answer.round.max(*round);
-                    match verdict(&members[&agent], &answer.members) {
+                    match verdict(&members[&agent], answer) {
                         Ok(finished) => all_finished &= finished,
                         Err(end) => return Round::Over(end),
                     }
@@ -292,22 +292,18 @@
 }
 
 /// Returns whether all of an agent's members have finished, or how the gang must end.
-fn verdict(members: &[u32], reports: &[MemberReport]) -> Result<bool, GangEnd> {
-    // An agent whose final report was acknowledged answers an empty list for finished tasks.
-    if reports.is_empty() {
-        return Ok(true);
+fn verdict(members: &[u32], answer: RenewAnswer) -> Result<bool, GangEnd> {
+    // A task that its worker has forgotten is missing from the list that a restarted agent read.
+    let is_complete = answer
+        .members
+        .is_none_or(|count| usize::try_from(count) == Ok(members.len()));
+    match answer.state {
+        MembersState::Failed => Err(GangEnd::Failed),
+        MembersState::Gone => Err(GangEnd::Lost),
+        _ if !is_complete => Err(GangEnd::Lost),
+        MembersState::Running => Ok(false),
+        MembersState::Finished => Ok(true),
     }
-    let mut finished = true;
-    for member in members {
-        let report = reports.iter().find(|report| report.member == *member);
-        match report.and_then(|report| report.state) {
-            Some(TaskState::Running) => finished = false,
-            Some(TaskState::Finished) => {}
-            Some(TaskState::Failed) => return Err(GangEnd::Failed),
-            Some(TaskState::Stopped) | None => return Err(GangEnd::Lost),
-        }
-    }
-    Ok(finished)
 }
 
 /// Groups the members of a gang by agent.
--- a/crates/gang/src/agent/member.rs
+++ b/crates/gang/src/agent/member.rs
@@ -20,6 +20,7 @@
 use crate::TaskState;
 use crate::messages::Bind;
 use crate::messages::EndMembers;
+use crate::messages::MembersState;
 use crate::messages::Renew;
 use crate::messages::RenewAnswer;
 use crate::messages::Reserve;
@@ -200,14 +201,11 @@
                 *held_until = sent + timings.step + timings.lease;
             }
             gang.update(&key, &list);
-            let answer = RenewAnswer {
-                round: gang.round,
-                members: gang.tasks.clone(),
-            };
+            let answer = gang.answer();
             let running = gang.tasks.iter();
             let running = running.filter(|task| task.state == Some(TaskState::Running));
             let running: Vec<u32> = running.map(|task| task.member).collect();
-            if !extend || !gang.is_healthy() {
+            if !extend || answer.state < MembersState::Running {
                 return Ok(answer);
             }
             (answer, running)
@@ -232,20 +230,22 @@
 
     fn final_states(&self, key: &Key) -> Result<RenewAnswer> {
         let state = self.shared.state.borrow();
-        let (round, mut members) = match state.gangs.get(key) {
+        match state.gangs.get(key) {
             Some(gang) if matches!(gang.phase, Phase::Ending { .. } | Phase::Ended { .. }) => {
-                (gang.round, gang.tasks.clone())
-            }
-            None if state.closed_end(key) == Some(GangEnd::Finished) => (0, Vec::new()),
-            _ => return Err(closed_error(key)),
-        };
-        // A task that is being stopped no longer counts as running.
-        for member in &mut members {
-            if member.state == Some(TaskState::Running) {
-                member.state = Some(TaskState::Stopped);
+                let mut answer = gang.answer();
+                // A task that is being stopped no longer counts as running.
+                if answer.state == MembersState::Running {
+                    answer.state = MembersState::Gone;
+                }
+                Ok(answer)
             }
+            None if state.closed_end(key) == Some(GangEnd::Finished) => Ok(RenewAnswer {
+                round: 0,
+                members: None,
+                state: MembersState::Finished,
+            }),
+            _ => Err(closed_error(key)),
         }
-        Ok(RenewAnswer { round, members })
     }
 
     /// Stops the tasks because the lead ended the gang.
--- a/crates/gang/src/agent/state.rs
+++ b/crates/gang/src/agent/state.rs
@@ -15,9 +15,10 @@
 use crate::GangEnd;
 use crate::MemberReport;
 use crate::MemberSpec;
-use crate::TaskState;
 use crate::TaskStatus;
 use crate::messages::Bind;
+use crate::messages::MembersState;
+use crate::messages::RenewAnswer;
 use crate::messages::StartAnswer;
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
@@ -139,11 +140,13 @@
         }
     }
 
-    /// Returns whether every task runs or has finished.
-    pub(crate) fn is_healthy(&self) -> bool {
-        self.tasks
-            .iter()
-            .all(|task| matches!(task.state, Some(TaskState::Running | TaskState::Finished)))
+    /// Returns the answer in a renewal round.
+    pub(crate) fn answer(&self) -> RenewAnswer {
+        RenewAnswer {
+            round: self.round,
+            members: u32::try_from(self.tasks.len()).ok(),
+            state: MembersState::of(&self.tasks),
+        }
     }
 
     fn holds_resources(&self) -> bool {
--- a/crates/gang/src/messages.rs
+++ b/crates/gang/src/messages.rs
@@ -180,13 +180,45 @@
     },
 }
 
-/// States of an agent's members in a renewal round.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// State of all of an agent's members together, the worst one first.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MembersState {
+    /// A task failed.
+    Failed,
+    /// A task was stopped or is gone.
+    Gone,
+    /// A task runs, and all others run or have finished.
+    Running,
+    /// Every task finished.
+    Finished,
+}
+
+impl MembersState {
+    /// Returns the state of all `members`.
+    #[must_use]
+    pub fn of(members: &[MemberReport]) -> Self {
+        let states = members.iter().map(|member| match member.state {
+            Some(TaskState::Failed) => Self::Failed,
+            Some(TaskState::Stopped) | None => Self::Gone,
+            Some(TaskState::Running) => Self::Running,
+            Some(TaskState::Finished) => Self::Finished,
+        });
+        states.min().unwrap_or(Self::Gone)
+    }
+}
+
+/// Answer in a renewal round. A lead gets one from each agent every round, so it is kept short; the
+/// states of single tasks go to the owner with the report.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RenewAnswer {
     /// Highest round that the agent has renewed in, from which a lead that restarts goes on.
     pub round: u64,
-    /// Members on the agent's worker; empty when the owner has acknowledged that all finished.
-    pub members: Vec<MemberReport>,
+    /// Number of members on the agent's worker; absent when all finished and the owner has
+    /// acknowledged it.
+    pub members: Option<u32>,
+    /// State of these members together.
+    pub state: MembersState,
 }
 
 /// The owner has taken over all ended attempts up to this sequence number.
