--- a/crates/gang/src/agent/member.rs
+++ b/crates/gang/src/agent/member.rs
@@ -20,6 +20,7 @@
 use crate::TaskState;
 use crate::messages::Bind;
 use crate::messages::EndMembers;
+use crate::messages::MembersState;
 use crate::messages::Renew;
 use crate::messages::RenewAnswer;
 use crate::messages::Reserve;
@@ -82,8 +83,10 @@
             ));
         }
         gang.bind = Some(Rc::new(message));
+        let timings = self.timings();
         gang.phase = Phase::Bound {
-            until: now + self.timings().lease,
+            start_until: now + timings.reservation,
+            until: now + timings.reservation.max(timings.lease),
         };
         state.sequence += 1;
         Ok(())
@@ -108,7 +111,7 @@
                 return Err(closed_error(&key));
             };
             match gang.phase {
-                Phase::Bound { until } if now < until => {}
+                Phase::Bound { start_until, .. } if now < start_until => {}
                 _ => return Err(closed_error(&key)),
             }
             gang.phase = Phase::Running {
@@ -198,14 +201,11 @@
                 *held_until = sent + timings.step + timings.lease;
             }
             gang.update(&key, &list);
-            let answer = RenewAnswer {
-                round: gang.round,
-                members: gang.tasks.clone(),
-            };
+            let answer = gang.answer();
             let running = gang.tasks.iter();
             let running = running.filter(|task| task.state == Some(TaskState::Running));
             let running: Vec<u32> = running.map(|task| task.member).collect();
-            if !extend || !gang.is_healthy() {
+            if !extend || answer.state < MembersState::Running {
                 return Ok(answer);
             }
             (answer, running)
@@ -230,20 +230,22 @@
 
     fn final_states(&self, key: &Key) -> Result<RenewAnswer> {
         let state = self.shared.state.borrow();
-        let (round, mut members) = match state.gangs.get(key) {
+        match state.gangs.get(key) {
             Some(gang) if matches!(gang.phase, Phase::Ending { .. } | Phase::Ended { .. }) => {
-                (gang.round, gang.tasks.clone())
-            }
-            None if state.closed_end(key) == Some(GangEnd::Finished) => (0, Vec::new()),
-            _ => return Err(closed_error(key)),
-        };
-        // A task that is being stopped no longer counts as running.
-        for member in &mut members {
-            if member.state == Some(TaskState::Running) {
-                member.state = Some(TaskState::Stopped);
+                let mut answer = gang.answer();
+                // A task that is being stopped no longer counts as running.
+                if answer.state == MembersState::Running {
+                    answer.state = MembersState::Gone;
+                }
+                Ok(answer)
             }
+            None if state.closed_end(key) == Some(GangEnd::Finished) => Ok(RenewAnswer {
+                round: 0,
+                members: None,
+                state: MembersState::Finished,
+            }),
+            _ => Err(closed_error(key)),
         }
-        Ok(RenewAnswer { round, members })
     }
 
     /// Stops the tasks because the lead ended the gang.
@@ -334,6 +336,13 @@
         }
     }
 
+    /// Ends all gangs on this agent, for an agent that had no confirmed view for too long.
+    pub async fn end_all(&self) {
+        let keys: Vec<Key> = self.shared.state.borrow().gangs.keys().cloned().collect();
+        let stops = keys.iter().filter_map(|key| self.end(key, GangEnd::Lapsed));
+        join_all(stops.collect::<Vec<_>>()).await;
+    }
+
     /// Removes ended tasks from the worker's list.
     pub(super) fn forget(&self, attempts: Vec<(Key, Vec<u32>)>) {
         let agent = self.clone();
@@ -356,7 +365,7 @@
             while !agent.shared.shutdown.is_started() {
                 let until = agent.with_gang(&key, |gang| match gang.phase {
                     Phase::Reserved { until }
-                    | Phase::Bound { until }
+                    | Phase::Bound { until, .. }
                     | Phase::Running { until, .. } => Some(until),
                     Phase::Ending { .. } | Phase::Ended { .. } => None,
                 });
--- a/crates/gang/src/agent/state.rs
+++ b/crates/gang/src/agent/state.rs
@@ -15,9 +15,10 @@
 use crate::GangEnd;
 use crate::MemberReport;
 use crate::MemberSpec;
-use crate::TaskState;
 use crate::TaskStatus;
 use crate::messages::Bind;
+use crate::messages::MembersState;
+use crate::messages::RenewAnswer;
 use crate::messages::StartAnswer;
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
@@ -64,8 +65,11 @@
 pub(crate) enum Phase {
     /// The reservation lapses at `until`.
     Reserved { until: Instant },
-    /// The bind lapses at `until`.
-    Bound { until: Instant },
+    /// Tasks may be started before `start_until`; the resources are held until `until`.
+    Bound {
+        start_until: Instant,
+        until: Instant,
+    },
     /// Tasks may run.
     Running {
         /// When the agent stops its tasks unless renewed, counted from before the last renewal.
@@ -136,11 +140,13 @@
         }
     }
 
-    /// Returns whether every task runs or has finished.
-    pub(crate) fn is_healthy(&self) -> bool {
-        self.tasks
-            .iter()
-            .all(|task| matches!(task.state, Some(TaskState::Running | TaskState::Finished)))
+    /// Returns the answer in a renewal round.
+    pub(crate) fn answer(&self) -> RenewAnswer {
+        RenewAnswer {
+            round: self.round,
+            members: u32::try_from(self.tasks.len()).ok(),
+            state: MembersState::of(&self.tasks),
+        }
     }
 
     fn holds_resources(&self) -> bool {
