Judge the guarantees by an independent checker after every event

Cause: nothing but the planner's own check said that a guaranteed shape can be had back. Change: random event sequences on 3 to 6 workers; a checker with its own books tries all placements for each guarantee reported as degraded, and on a copy takes back all unfilled shapes at once. Faults found and fixed: reclaim on a worker that shrank below its load stopped too few borrowers; a stop that was not yet handed out could reach a later attempt; a borrower could be started and reclaimed in one call; returning workers could exceed the quarantine limit; parts lost earlier were not looked for when claims ended; claims whose room was taken by an adopted job waited for ever.

--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -355,22 +355,27 @@
     }
 
     /// Puts a job that has claims back into the queue.
-    pub(crate) fn release_claims(&mut self, seq: u64, _now: Duration) {
+    pub(crate) fn release_claims(&mut self, seq: u64, now: Duration) {
         if self.pending.contains(&seq) {
-            self.detach(seq);
             self.take_claims(seq);
             self.enqueue(seq);
+            self.leave_reservation(seq, now);
         }
     }
 
     /// Frees everything that a placed job takes.
     fn release(&mut self, seq: u64, now: Duration) {
         self.count_not_borrowed(seq, now);
-        self.detach(seq);
+        self.leave_reservation(seq, now);
         let Some(job) = self.jobs.get_mut(&seq) else {
             return;
         };
         let stopping = job.phase == JobPhase::Stopping;
+        // A stop that was not handed out yet must not reach a later attempt of the job.
+        self.outbox.retain(|action| match action {
+            Action::Stop { job: id, .. } | Action::Throttle { job: id } => *id != job.spec.id,
+            Action::Start { .. } | Action::Reject { .. } => true,
+        });
         for (index, tasks) in std::mem::take(&mut job.placements) {
             let need = job.spec.shape.times(tasks);
             if stopping {
@@ -386,8 +391,8 @@
 
     fn forget(&mut self, seq: u64, now: Duration) {
         if self.pending.contains(&seq) {
-            self.detach(seq);
             self.take_claims(seq);
+            self.leave_reservation(seq, now);
         } else if self.jobs.get(&seq).is_some_and(Job::is_placed) {
             self.release(seq, now);
         }
@@ -413,7 +418,7 @@
             return;
         }
         self.count_not_borrowed(seq, now);
-        self.detach(seq);
+        self.leave_reservation(seq, now);
         let Some(job) = self.jobs.get_mut(&seq) else {
             return;
         };
@@ -440,6 +445,18 @@
         });
     }
 
+    /// Takes a job out of its reservation; parts that were lost may fit now that others can move.
+    fn leave_reservation(&mut self, seq: u64, now: Duration) {
+        let assigned = self
+            .jobs
+            .get(&seq)
+            .is_some_and(|job| job.assignment.is_some());
+        self.detach(seq);
+        if assigned && self.reservations.iter().any(|one| one.lost_parts() > 0) {
+            self.repair_reservations(now);
+        }
+    }
+
     fn started_by_seq(&mut self, seq: u64, now: Duration) {
         if let Some(job) = self.jobs.get_mut(&seq)
             && job.is_placed()
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -13,7 +13,6 @@
 use crate::StopReason;
 use crate::WorkerSpec;
 use crate::health::Health;
-use crate::health::HealthState;
 use crate::hold::Hold;
 use crate::job::Job;
 use crate::queue::Queue;
@@ -215,10 +214,8 @@
 
     /// Returns the number of workers in quarantine.
     pub(crate) fn quarantined(&self) -> usize {
-        let present = self.workers.list.iter().zip(&self.health);
-        present
-            .filter(|(worker, health)| worker.present && health.state != HealthState::Good)
-            .count()
+        let unhealthy = self.workers.list.iter().filter(|one| !one.healthy);
+        unhealthy.count()
     }
 
     /// Puts jobs that wait for claimed room on unusable workers back into the queue.
@@ -237,7 +234,11 @@
     /// Takes a job out of its reservation; one that only has claims waits again.
     pub(crate) fn turn_into_borrower(&mut self, seq: u64, now: Duration) {
         match self.jobs.get(&seq).map(|job| job.phase) {
-            Some(JobPhase::Reclaiming) => self.release_claims(seq, now),
+            Some(JobPhase::Reclaiming) => {
+                self.detach(seq);
+                self.take_claims(seq);
+                self.enqueue(seq);
+            }
             Some(_) => {
                 self.detach(seq);
                 self.count_borrowed(seq, now);
--- a/crates/fleet/src/measures.rs
+++ b/crates/fleet/src/measures.rs
@@ -12,6 +12,7 @@
 use crate::ReservedPart;
 use crate::Shape;
 use crate::Violation;
+use nutmegwalk_base::WorkerId;
 
 impl Fleet {
     /// Returns figures about the data centre.
@@ -86,6 +87,13 @@
             .collect()
     }
 
+    /// Returns the workers in quarantine.
+    #[must_use]
+    pub fn quarantined_workers(&self) -> Vec<WorkerId> {
+        let unhealthy = self.workers.list.iter().filter(|one| !one.healthy);
+        unhealthy.map(|worker| worker.id.clone()).collect()
+    }
+
     /// Returns all parts of guarantees with the workers that they are on.
     #[must_use]
     pub fn reserved_parts(&self) -> Vec<ReservedPart> {
--- a/crates/fleet/src/reclaim.rs
+++ b/crates/fleet/src/reclaim.rs
@@ -8,6 +8,19 @@
 use crate::JobPhase;
 use crate::Shape;
 
+/// What one worker would have to hold. Kept as a sum, because a worker that shrank holds more than
+/// its capacity.
+struct Load {
+    capacity: Shape,
+    wanted: Shape,
+}
+
+impl Load {
+    fn is_over(&self) -> bool {
+        !self.wanted.fits(self.capacity)
+    }
+}
+
 impl Fleet {
     /// Chooses whole borrower gangs whose stop makes room for `needs`, with little work lost.
     ///
@@ -17,15 +30,19 @@
         needs: &[(usize, Shape)],
         now: Duration,
     ) -> Option<Vec<u64>> {
-        let mut room: BTreeMap<usize, (Shape, Shape)> = needs
-            .iter()
-            .map(|(worker, need)| (*worker, (*need, self.room_after_stops(*worker))))
-            .collect();
+        let mut loads: BTreeMap<usize, Load> = BTreeMap::new();
+        for (index, need) in needs {
+            let worker = &self.workers.list[*index];
+            let staying = worker.used.minus(worker.stopping).plus(worker.claimed);
+            let load = loads.entry(*index).or_insert(Load {
+                capacity: worker.capacity,
+                wanted: staying,
+            });
+            load.wanted = load.wanted.plus(*need);
+        }
         let mut candidates: BTreeSet<u64> = BTreeSet::new();
-        for (worker, (need, available)) in &room {
-            if !need.fits(*available) {
-                candidates.extend(self.workers.list[*worker].tasks.keys());
-            }
+        for (worker, _) in loads.iter().filter(|(_, load)| load.is_over()) {
+            candidates.extend(self.workers.list[*worker].tasks.keys());
         }
         candidates.extend(&self.pending);
         candidates.retain(|seq| {
@@ -34,40 +51,29 @@
             job.is_borrower() || claims
         });
         let mut victims = Vec::new();
-        while room
-            .values()
-            .any(|(need, available)| !need.fits(*available))
-        {
+        while loads.values().any(Load::is_over) {
             let best = candidates
                 .iter()
-                .map(|seq| (self.cost_of_relief(*seq, &room, now), *seq))
+                .map(|seq| (self.cost_of_relief(*seq, &loads, now), *seq))
                 .filter(|(cost, _)| cost.is_finite())
                 .min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)))?;
             candidates.remove(&best.1);
-            self.relieve(best.1, &mut room, true);
+            self.relieve(best.1, &mut loads, true);
             victims.push(best.1);
         }
         // A large victim chosen late may make earlier ones unnecessary.
         let mut kept = Vec::new();
         victims.sort_by(|one, other| self.risk(*other, now).total_cmp(&self.risk(*one, now)));
         for victim in victims {
-            self.relieve(victim, &mut room, false);
-            if room
-                .values()
-                .any(|(need, available)| !need.fits(*available))
-            {
-                self.relieve(victim, &mut room, true);
+            self.relieve(victim, &mut loads, false);
+            if loads.values().any(Load::is_over) {
+                self.relieve(victim, &mut loads, true);
                 kept.push(victim);
             }
         }
         Some(kept)
     }
 
-    /// Returns room as a difference of sums, so that adding and taking away victims is exact.
-    fn room_after_stops(&self, worker: usize) -> Shape {
-        self.workers.list[worker].available_after_stops()
-    }
-
     fn risk(&self, seq: u64, now: Duration) -> f64 {
         let job = &self.jobs[&seq];
         if job.phase == JobPhase::Reclaiming {
@@ -78,20 +84,16 @@
         }
     }
 
-    fn cost_of_relief(
-        &self,
-        seq: u64,
-        room: &BTreeMap<usize, (Shape, Shape)>,
-        now: Duration,
-    ) -> f64 {
+    fn cost_of_relief(&self, seq: u64, loads: &BTreeMap<usize, Load>, now: Duration) -> f64 {
         let job = &self.jobs[&seq];
         let mut relief = 0.0;
         for (worker, tasks) in &job.placements {
-            let Some((need, available)) = room.get(worker) else {
+            let Some(load) = loads.get(worker) else {
                 continue;
             };
-            let lacking = need.minus(*available);
+            let lacking = load.wanted.minus(load.capacity);
             let freed = job.spec.shape.times(*tasks).min(lacking);
+            // Cores and memory count as the share of an accelerator that they usually go with.
             relief += f64::from(freed.accelerators)
                 + f64::from(freed.cores) / 16.0
                 + freed.memory_mb as f64 / 32_768.0;
@@ -103,15 +105,15 @@
         }
     }
 
-    fn relieve(&self, seq: u64, room: &mut BTreeMap<usize, (Shape, Shape)>, add: bool) {
+    fn relieve(&self, seq: u64, loads: &mut BTreeMap<usize, Load>, stop: bool) {
         let job = &self.jobs[&seq];
         for (worker, tasks) in &job.placements {
-            if let Some((_, available)) = room.get_mut(worker) {
+            if let Some(load) = loads.get_mut(worker) {
                 let freed = job.spec.shape.times(*tasks);
-                *available = if add {
-                    available.plus(freed)
+                load.wanted = if stop {
+                    load.wanted.minus(freed)
                 } else {
-                    available.minus(freed)
+                    load.wanted.plus(freed)
                 };
             }
         }
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -40,8 +40,10 @@
             }
             match self.policy {
                 Policy::Guaranteed => {
-                    self.start_pending(now, &mut actions);
+                    // Borrowers come last, so that none is started and reclaimed in the same call.
+                    self.start_pending(true, now, &mut actions);
                     self.start_guaranteed(now, &mut actions);
+                    self.start_pending(false, now, &mut actions);
                     self.start_borrowers(now, &mut actions);
                 }
                 Policy::FirstFit | Policy::Static => self.schedule_baseline(now, &mut actions),
@@ -54,9 +56,25 @@
     }
 
     /// Starts jobs whose claimed room has become free.
-    fn start_pending(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    fn start_pending(&mut self, guaranteed: bool, now: Duration, actions: &mut Vec<Action>) {
         for seq in self.pending.clone() {
             let job = &self.jobs[&seq];
+            if job.assignment.is_some() != guaranteed {
+                continue;
+            }
+            let possible = job.placements.iter().all(|(worker, tasks)| {
+                let worker = &self.workers.list[*worker];
+                let staying = worker.used.minus(worker.stopping);
+                job.spec
+                    .shape
+                    .times(*tasks)
+                    .fits(worker.capacity.minus(staying))
+            });
+            if !possible {
+                // Something else took the room, for example a job that was adopted; choose anew.
+                self.release_claims(seq, now);
+                continue;
+            }
             let ready = job.placements.iter().all(|(worker, tasks)| {
                 let free = self.workers.list[*worker].free();
                 job.spec.shape.times(*tasks).fits(free)
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -90,7 +90,7 @@
             worker.rack = rack;
             worker.capacity = spec.shape;
             worker.present = true;
-            worker.overcommitted |= !worker.used.fits(spec.shape);
+            worker.overcommitted = !worker.used.fits(spec.shape);
             return index;
         }
         let index = self.list.len();
--- /dev/null
+++ b/crates/fleet/tests/invariant.rs
@@ -0,0 +1,375 @@
+//! Random event sequences, judged after each event by the independent checker.
+
+mod checker;
+
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use crate::checker::Checker;
+use crate::checker::SeenJob;
+use crate::checker::SeenWorker;
+use crate::checker::amount;
+use nutmegwalk_fleet::Adjacency;
+use nutmegwalk_fleet::Fleet;
+use nutmegwalk_fleet::GuaranteeSpec;
+use nutmegwalk_fleet::JobSpec;
+use nutmegwalk_fleet::Placement;
+use nutmegwalk_fleet::Policy;
+use nutmegwalk_fleet::Shape;
+use nutmegwalk_fleet::WorkerSpec;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Submit {
+        customer: u8,
+        tasks: u32,
+        accelerators: u32,
+        near: bool,
+        named: bool,
+    },
+    Adopt {
+        customer: u8,
+        worker: u8,
+        accelerators: u32,
+        named: bool,
+    },
+    Cancel(u8),
+    Started(u8),
+    StartFailed(u8, bool),
+    Finished(u8),
+    Stopped(u8, u64),
+    Checkpointed(u8),
+    WorkerFailed(u8),
+    Usable(u8, bool),
+    Upsert(u8, u32),
+    Guarantees(Vec<(u8, u32, u32, bool)>),
+    InService(bool),
+    Wait(u64),
+    Schedule,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let submit = (0..3_u8, 1..4_u32, 1..9_u32, any::<bool>(), any::<bool>()).prop_map(
+        |(customer, tasks, accelerators, near, named)| Event::Submit {
+            customer,
+            tasks,
+            accelerators,
+            near,
+            named,
+        },
+    );
+    let adopt = (0..3_u8, 0..6_u8, 1..9_u32, any::<bool>()).prop_map(
+        |(customer, worker, accelerators, named)| Event::Adopt {
+            customer,
+            worker,
+            accelerators,
+            named,
+        },
+    );
+    let guarantee = (0..3_u8, 1..4_u32, 1..9_u32, any::<bool>());
+    prop_oneof![
+        6 => submit,
+        1 => adopt,
+        1 => any::<u8>().prop_map(Event::Cancel),
+        4 => any::<u8>().prop_map(Event::Started),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(job, known)| Event::StartFailed(job, known)),
+        2 => any::<u8>().prop_map(Event::Finished),
+        4 => (any::<u8>(), 0..50_u64).prop_map(|(job, done)| Event::Stopped(job, done)),
+        1 => any::<u8>().prop_map(Event::Checkpointed),
+        1 => (0..6_u8).prop_map(Event::WorkerFailed),
+        2 => (0..6_u8, any::<bool>()).prop_map(|(worker, usable)| Event::Usable(worker, usable)),
+        1 => (0..6_u8, 4..9_u32).prop_map(|(worker, size)| Event::Upsert(worker, size)),
+        1 => vec(guarantee, 0..4).prop_map(Event::Guarantees),
+        1 => prop_oneof![1 => Just(false), 2 => Just(true)].prop_map(Event::InService),
+        2 => (1..100_u64).prop_map(Event::Wait),
+        8 => Just(Event::Schedule),
+    ]
+}
+
+fn shape(accelerators: u32) -> Shape {
+    Shape::new(
+        accelerators * 16,
+        u64::from(accelerators) * 32_000,
+        accelerators,
+    )
+}
+
+struct Scenario {
+    fleet: Fleet,
+    checker: Checker,
+    now: Duration,
+    next_job: u32,
+}
+
+impl Scenario {
+    fn new(workers: u8) -> Self {
+        let mut scenario = Self {
+            fleet: Fleet::new(Policy::Guaranteed),
+            checker: Checker {
+                in_service: true,
+                ..Checker::default()
+            },
+            now: Duration::ZERO,
+            next_job: 0,
+        };
+        for worker in 0..workers {
+            scenario.upsert(worker, 8);
+        }
+        scenario
+    }
+
+    fn upsert(&mut self, number: u8, accelerators: u32) {
+        let spec = WorkerSpec {
+            id: format!("w{number}").into(),
+            rack: format!("r{}", number / 3).into(),
+            shape: shape(accelerators),
+        };
+        let seen = SeenWorker {
+            rack: u32::from(number / 3),
+            size: amount(spec.shape, 1),
+            present: true,
+        };
+        self.checker.workers.insert(spec.id.clone(), seen);
+        self.fleet.upsert_worker(spec, self.now);
+    }
+
+    fn add_job(&mut self, customer: u8, tasks: u32, accelerators: u32, named: bool) -> JobSpec {
+        self.next_job += 1;
+        let id = format!("j{:04}", self.next_job);
+        let mut spec = JobSpec::new(id, format!("c{customer}"), "s", tasks, shape(accelerators));
+        spec.guarantee = named.then(|| "main".into());
+        spec
+    }
+
+    /// Picks one of the jobs for which `wanted` holds.
+    fn pick(&self, number: u8, wanted: impl Fn(&SeenJob) -> bool) -> Option<Box<str>> {
+        let jobs = self.checker.jobs.iter().filter(|(_, job)| wanted(job));
+        let ids: Vec<&Box<str>> = jobs.map(|(id, _)| id).collect();
+        (!ids.is_empty()).then(|| ids[usize::from(number) % ids.len()].clone())
+    }
+
+    fn apply(&mut self, event: &Event) {
+        let now = self.now;
+        match event {
+            Event::Submit {
+                customer,
+                tasks,
+                accelerators,
+                near,
+                named,
+            } => {
+                let mut spec = self.add_job(*customer, *tasks, *accelerators, *named);
+                if *near {
+                    spec.adjacency = Adjacency::Rack;
+                }
+                if self.fleet.submit(spec.clone(), now).is_ok() {
+                    self.see(spec, Vec::new());
+                }
+            }
+            Event::Adopt {
+                customer,
+                worker,
+                accelerators,
+                named,
+            } => self.adopt(*customer, *worker, *accelerators, *named),
+            Event::Cancel(number) => {
+                if let Some(id) = self.pick(*number, |_| true) {
+                    self.fleet.cancel(&id, now);
+                    self.checker.cancelled.insert(id.clone());
+                    let job = self.checker.jobs.get_mut(&id).unwrap();
+                    job.cancelled = true;
+                    if job.placements.is_empty() {
+                        self.checker.jobs.remove(&id);
+                    }
+                }
+            }
+            Event::Started(number) => {
+                if let Some(id) = self.pick(*number, |job| !job.placements.is_empty()) {
+                    self.fleet.started(&id, now);
+                    self.checker.jobs.get_mut(&id).unwrap().confirmed = true;
+                }
+            }
+            Event::StartFailed(number, known) => {
+                let failing = |job: &SeenJob| !job.placements.is_empty() && !job.confirmed;
+                if let Some(id) = self.pick(*number, failing) {
+                    let worker = self.checker.jobs[&id].placements[0].worker.clone();
+                    self.fleet.start_failed(&id, known.then_some(&*worker), now);
+                    self.ended(&id);
+                }
+            }
+            Event::Finished(number) => {
+                if let Some(id) = self.pick(*number, |job| job.confirmed) {
+                    self.fleet.finished(&id, now);
+                    self.checker.jobs.remove(&id);
+                }
+            }
+            Event::Stopped(number, done) => {
+                if let Some(id) = self.pick(*number, |job| job.stopping) {
+                    self.fleet.stopped(&id, Duration::from_secs(*done), now);
+                    self.ended(&id);
+                }
+            }
+            Event::Checkpointed(number) => {
+                if let Some(id) = self.pick(*number, |job| job.confirmed) {
+                    self.fleet.checkpointed(&id, now, now);
+                }
+            }
+            Event::WorkerFailed(number) => {
+                self.fleet.worker_failed(&format!("w{number}"), now);
+                self.set_present(*number, false);
+            }
+            Event::Usable(number, usable) => {
+                self.fleet
+                    .set_worker_usable(&format!("w{number}"), *usable, now);
+                self.set_present(*number, *usable);
+            }
+            Event::Upsert(number, accelerators) => {
+                if self.checker.workers.contains_key(&*format!("w{number}")) {
+                    self.upsert(*number, *accelerators);
+                }
+            }
+            Event::Guarantees(list) => {
+                let mut specs: Vec<GuaranteeSpec> = Vec::new();
+                for (customer, workers, accelerators, near) in list {
+                    let customer: Box<str> = format!("c{customer}").into();
+                    specs.retain(|spec| spec.customer != customer);
+                    specs.push(GuaranteeSpec {
+                        customer,
+                        name: "main".into(),
+                        workers: *workers,
+                        shape: shape(*accelerators),
+                        adjacency: if *near {
+                            Adjacency::Rack
+                        } else {
+                            Adjacency::DataCentre
+                        },
+                        reclaim_within: Duration::from_secs(8),
+                    });
+                }
+                self.checker.guarantees.clone_from(&specs);
+                let degraded = self.fleet.set_guarantees(specs, now);
+                assert_eq!(degraded, self.fleet.degraded());
+            }
+            Event::InService(in_service) => {
+                self.checker.in_service = *in_service;
+                self.fleet.set_in_service(*in_service, now);
+            }
+            Event::Wait(seconds) => self.now += Duration::from_secs(*seconds),
+            Event::Schedule => {
+                let actions = self.fleet.schedule(now);
+                self.checker.note(&actions);
+            }
+        }
+        self.checker.judge(&self.fleet);
+    }
+
+    fn adopt(&mut self, customer: u8, worker: u8, accelerators: u32, named: bool) {
+        let id: Box<str> = format!("w{worker}").into();
+        let Some(seen) = self.checker.workers.get(&id) else {
+            return;
+        };
+        let used: u64 = self
+            .checker
+            .jobs
+            .values()
+            .flat_map(|job| job.placements.iter().map(move |one| (job, one)))
+            .filter(|(_, one)| one.worker == id)
+            .map(|(job, one)| amount(job.spec.shape, one.tasks)[0])
+            .sum();
+        if used + u64::from(accelerators) <= seen.size[0] {
+            let spec = self.add_job(customer, 1, accelerators, named);
+            let placements = vec![Placement {
+                worker: id,
+                tasks: 1,
+            }];
+            self.see(spec.clone(), placements.clone());
+            self.fleet.adopt(spec, placements, self.now);
+        }
+    }
+
+    fn see(&mut self, spec: JobSpec, placements: Vec<Placement>) {
+        let id = spec.id.clone();
+        let confirmed = !placements.is_empty();
+        let seen = SeenJob {
+            spec,
+            placements,
+            confirmed,
+            stopping: false,
+            cancelled: false,
+        };
+        self.checker.jobs.insert(id, seen);
+    }
+
+    /// Follows a job whose tasks have ended.
+    fn ended(&mut self, id: &str) {
+        let job = self.checker.jobs.get_mut(id).unwrap();
+        job.placements.clear();
+        job.confirmed = false;
+        job.stopping = false;
+        if job.cancelled {
+            self.checker.jobs.remove(id);
+        }
+    }
+
+    fn set_present(&mut self, number: u8, present: bool) {
+        if let Some(worker) = self.checker.workers.get_mut(&*format!("w{number}")) {
+            worker.present = present;
+        }
+    }
+}
+
+fn run(seed: u8, cases: u32) {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let searches = std::cell::Cell::new(0);
+    let reclaims = std::cell::Cell::new(0);
+    let sequences = (3..7_u8, vec(event(), 1..120));
+    let result = runner.run(&sequences, |(workers, events)| {
+        let mut scenario = Scenario::new(workers);
+        for event in &events {
+            scenario.apply(event);
+        }
+        scenario.apply(&Event::Schedule);
+        scenario.checker.judge_end(&scenario.fleet);
+        searches.set(searches.get() + scenario.checker.searches);
+        reclaims.set(reclaims.get() + scenario.checker.reclaims);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("seed {seed}: {error}");
+    }
+    println!(
+        "seed {seed}: {} reclaims and {} searches",
+        reclaims.get(),
+        searches.get()
+    );
+    assert!(
+        reclaims.get() > 0 && searches.get() > 0,
+        "the sequences tested nothing"
+    );
+}
+
+// Guards against any sequence of events after which a guaranteed shape cannot be had back.
+#[rstest::rstest]
+fn guarantees_hold_after_every_event(#[values(1, 2, 3, 4)] seed: u8) {
+    let cases = std::env::var("NUTMEGWALK_CASES").ok();
+    run(
+        seed,
+        cases.and_then(|cases| cases.parse().ok()).unwrap_or(100),
+    );
+}
