Add consolidation, and tell bad workers from bad jobs by later success

Cause: a gang that needs one rack waited for small jobs spread over all racks, and a job that failed on one worker of a bad rack was tried on the next one there until it was given up. Change: borrowers move by checkpoint when the waiting gang gains twice what the moves cost; failed starts count against a worker once the job runs elsewhere; jobs avoid doubtful workers and the racks where they failed; bookings, promotion and consolidation are modules of their own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,8 @@
 //! since an arbitrary origin.
 
 mod baseline;
+mod booking;
+mod consolidate;
 mod events;
 mod fleet;
 mod health;
@@ -12,6 +14,7 @@
 mod job;
 mod measures;
 mod placement;
+mod promote;
 mod queue;
 mod reclaim;
 mod reservation;
--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -208,6 +208,7 @@
                 failed.insert(kind);
                 if self.hold.is_none() && accelerators > 0 {
                     self.hold = self.plan_hold(seq, now);
+                    // Whether a job ends before the hold has a new meaning.
                     failed.clear();
                 }
             }
@@ -265,10 +266,15 @@
         if now >= hold.due && self.stop_backfilled(hold.job, now) {
             return;
         }
-        self.hold = self.plan_hold(hold.job, now).map(|new| Hold {
+        let renewed = self.plan_hold(hold.job, now).map(|new| Hold {
             due: hold.due,
             ..new
         });
+        if let Some(hold) = renewed
+            && !self.consolidate(&hold, now)
+        {
+            self.hold = Some(hold);
+        }
     }
 
     /// Stops jobs that were backfilled on a gang's hold and overran, if the gang fits then.
@@ -336,6 +342,15 @@
         worker.present && (worker.healthy || (probed && worker.tasks.is_empty()))
     }
 
+    /// Returns whether a start on a worker is more likely to fail than elsewhere.
+    fn is_doubtful(&self, seq: u64, index: usize) -> bool {
+        // Workers of one rack often fail together.
+        let rack = self.workers.list[index].rack;
+        let failed_on = self.jobs[&seq].failed_on.iter();
+        let mut failed_racks = failed_on.map(|worker| self.workers.list[*worker].rack);
+        !self.health[index].failed_jobs.is_empty() || failed_racks.any(|failed| failed == rack)
+    }
+
     /// Chooses workers for a job outside reservations, on unreserved capacity if there is enough.
     pub(crate) fn place(&self, seq: u64, ignore_hold: bool) -> Option<Vec<(usize, u32)>> {
         let spec = &self.jobs[&seq].spec;
@@ -344,13 +359,21 @@
             Some(hold) if !ignore_hold => available.min(hold.spare[index]),
             _ => available,
         };
-        let unreserved = self.rooms(seq, |index, available| {
+        let fit = |rooms: &[Room]| best_fit(rooms, rack_count, spec.tasks, spec.adjacency);
+        let mut unreserved = self.rooms(seq, |index, available| {
             spare(index, available).minus(self.workers.list[index].unfilled())
         });
-        best_fit(&unreserved, rack_count, spec.tasks, spec.adjacency).or_else(|| {
-            let all = self.rooms(seq, spare);
-            best_fit(&all, rack_count, spec.tasks, spec.adjacency)
-        })
+        let all = unreserved.clone();
+        unreserved.retain(|room| !self.is_doubtful(seq, room.worker));
+        if let Some(placements) = fit(&unreserved) {
+            return Some(placements);
+        }
+        if unreserved.len() < all.len()
+            && let Some(placements) = fit(&all)
+        {
+            return Some(placements);
+        }
+        fit(&self.rooms(seq, spare))
     }
 
     /// Counts a started job against the spare capacity of the hold, or as backfilled on it.
@@ -399,68 +422,6 @@
             });
         }
     }
-
-    /// Makes a running borrower guaranteed if its reservation can be moved to where it runs.
-    pub(crate) fn try_promote(&mut self, seq: u64, now: Duration) {
-        let Some(index) = self.reservation_of(seq) else {
-            return;
-        };
-        let Some(job) = self.jobs.get(&seq).filter(|job| job.is_borrower()) else {
-            return;
-        };
-        let spec = job.spec.clone();
-        let placements = job.placements.clone();
-        let lost_before: u32 = self.reservations.iter().map(|one| one.lost_parts()).sum();
-        let mut trial = self.reservations.clone();
-        trial[index].clear_empty_parts();
-        let part_shape = trial[index].spec.shape;
-        let mut parts = Vec::new();
-        for (worker, tasks) in &placements {
-            let need = spec.shape.times(*tasks);
-            let on = |part: &crate::reservation::Part| part.worker == Some(*worker);
-            let existing = trial[index].parts.iter().position(on);
-            let empty = || {
-                trial[index]
-                    .parts
-                    .iter()
-                    .position(|part| part.worker.is_none())
-            };
-            let Some(part) = existing.or_else(empty) else {
-                return;
-            };
-            let slot = &mut trial[index].parts[part];
-            if !need.plus(slot.used).fits(part_shape) || !self.workers.list[*worker].is_usable() {
-                return;
-            }
-            slot.worker = Some(*worker);
-            slot.used = slot.used.plus(need);
-            slot.jobs.insert(seq);
-            parts.push((part, *tasks));
-        }
-        for (other, reservation) in trial.iter_mut().enumerate() {
-            if other != index {
-                reservation.clear_empty_parts();
-            }
-        }
-        let old = std::mem::replace(&mut self.reservations, trial);
-        let valid = self.jobs_outside_reservations().is_empty();
-        if valid {
-            crate::reservation::complete(&mut self.reservations, &mut self.workers);
-        }
-        let lost: u32 = self.reservations.iter().map(|one| one.lost_parts()).sum();
-        if valid && lost <= lost_before {
-            self.count_not_borrowed(seq, now);
-            if let Some(job) = self.jobs.get_mut(&seq) {
-                job.assignment = Some(Assignment {
-                    reservation: index,
-                    parts,
-                });
-            }
-        } else {
-            self.reservations = old;
-            crate::reservation::book(&self.reservations, &mut self.workers);
-        }
-    }
 }
 
 fn starts(actions: &[Action]) -> usize {
