--- a/crates/fleet/src/measures.rs
+++ b/crates/fleet/src/measures.rs
@@ -9,6 +9,7 @@
 use crate::GuaranteeSpec;
 use crate::JobPhase;
 use crate::Measures;
+use crate::Policy;
 use crate::ReservedPart;
 use crate::Shape;
 use crate::Violation;
@@ -73,9 +74,12 @@
             .sum()
     }
 
-    /// Returns the guarantees that the hardware cannot hold.
+    /// Returns the guarantees that the hardware cannot hold; first fit holds none and reports none.
     #[must_use]
     pub fn degraded(&self) -> Vec<Degraded> {
+        if self.policy == Policy::FirstFit {
+            return Vec::new();
+        }
         self.reservations
             .iter()
             .filter(|one| one.lost_parts() > 0)
