--- a/crates/fleet/src/measures.rs
+++ b/crates/fleet/src/measures.rs
@@ -9,9 +9,11 @@
 use crate::GuaranteeSpec;
 use crate::JobPhase;
 use crate::Measures;
+use crate::Policy;
 use crate::ReservedPart;
 use crate::Shape;
 use crate::Violation;
+use nutmegwalk_base::WorkerId;
 
 impl Fleet {
     /// Returns figures about the data centre.
@@ -72,9 +74,12 @@
             .sum()
     }
 
-    /// Returns the guarantees that the hardware cannot hold.
+    /// Returns the guarantees that the hardware cannot hold; first fit holds none and reports none.
     #[must_use]
     pub fn degraded(&self) -> Vec<Degraded> {
+        if self.policy == Policy::FirstFit {
+            return Vec::new();
+        }
         self.reservations
             .iter()
             .filter(|one| one.lost_parts() > 0)
@@ -86,6 +91,13 @@
             .collect()
     }
 
+    /// Returns the workers in quarantine.
+    #[must_use]
+    pub fn quarantined_workers(&self) -> Vec<WorkerId> {
+        let unhealthy = self.workers.list.iter().filter(|one| !one.healthy);
+        unhealthy.map(|worker| worker.id.clone()).collect()
+    }
+
     /// Returns all parts of guarantees with the workers that they are on.
     #[must_use]
     pub fn reserved_parts(&self) -> Vec<ReservedPart> {
