--- a/crates/sync/src/client.rs
+++ b/crates/sync/src/client.rs
@@ -36,6 +36,12 @@
 use nutmegwalk_net::decode;
 use nutmegwalk_net::encode;
 
+/// Upstreams tried in one round; those that failed come last in the next one.
+const ATTEMPTS_IN_ROUND: usize = 5;
+/// Answers without a recent view after which a round ends. During an outage of the store no upstream
+/// has one, and asking all of them would multiply the load.
+const STALE_ANSWERS_IN_ROUND: usize = 2;
+
 /// Counts of one client since its creation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SyncCounters {
@@ -181,7 +187,8 @@
             .order(&self.relays.borrow(), Instant::now());
         let detail = "there is no upstream";
         let mut result = Err(Error::new(ErrorKind::Unreachable, detail));
-        for to in order {
+        let mut stale_answers = 0;
+        for to in order.into_iter().take(ATTEMPTS_IN_ROUND) {
             let polled = self.poll(to).await;
             let now = Instant::now();
             let mut upstreams = self.upstreams.borrow_mut();
@@ -197,6 +204,10 @@
                 Ok(_) => {
                     upstreams.failed(to, now);
                     result = Ok(());
+                    stale_answers += 1;
+                    if stale_answers == STALE_ANSWERS_IN_ROUND {
+                        break;
+                    }
                 }
                 Err(error) => {
                     upstreams.failed(to, now);
--- a/crates/sync/src/upstreams.rs
+++ b/crates/sync/src/upstreams.rs
@@ -11,6 +11,8 @@
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::backoff::Backoff;
 
+/// Relays tried before entry hosts, so that the loss of many relays does not delay the failover.
+const RELAYS_FIRST: usize = 2;
 /// First time for which a failed upstream is tried last.
 const INITIAL_PENALTY: Duration = Duration::from_secs(2);
 /// Longest time for which a failed upstream is tried last.
@@ -53,8 +55,8 @@
         self.current
     }
 
-    /// Returns all upstreams: relays, then entry hosts, each by rendezvous hashing; those that failed
-    /// recently come last. A process that is a relay itself uses entry hosts only, so that relays
+    /// Returns all upstreams: the best relays, entry hosts, then other relays, each by rendezvous
+    /// hashing; those that failed recently come last. A process that is a relay itself uses entry hosts only, so that relays
     /// never wait for each other.
     pub(crate) fn order(&self, relays: &[Peer], now: Instant) -> Vec<SocketAddr> {
         let is_relay = relays.iter().any(|relay| relay.process == self.process);
@@ -62,12 +64,16 @@
         relays.sort_by_cached_key(|relay| Reverse(weight(&self.process, &relay.process)));
         let mut entries = self.entries.clone();
         entries.sort_by_cached_key(|entry| Reverse(weight(&self.process, &entry.to_string())));
-        let mut order: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
-        order.extend(entries);
-        order.sort_by_key(|address| {
+        let failed = |address: &SocketAddr| {
             let penalty = self.penalties.get(address);
             penalty.is_some_and(|penalty| penalty.until > now)
-        });
+        };
+        let mut order: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
+        order.sort_by_key(failed);
+        let others = order.split_off(RELAYS_FIRST.min(order.len()));
+        order.extend(entries);
+        order.extend(others);
+        order.sort_by_key(failed);
         order
     }
 
