--- a/crates/calls/src/router/choice.rs
+++ b/crates/calls/src/router/choice.rs
@@ -7,13 +7,13 @@
 
 use rand::Rng;
 
-use nutmegwalk_base::Error;
-use nutmegwalk_base::ErrorKind;
-use nutmegwalk_base::Result;
 use super::health::Permission;
 use super::servers::Chosen;
 use super::servers::Distance;
 use super::servers::Server;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
 
 /// How servers are chosen and retries are limited.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/calls/src/router/once.rs
+++ b/crates/calls/src/router/once.rs
@@ -4,6 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Retries;
+use super::Router;
+use super::attempt::AttemptTerms;
+use super::servers::Chosen;
 use crate::BackendAnswer;
 use crate::CallRequest;
 use crate::Claims;
@@ -18,10 +22,6 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
-use super::Retries;
-use super::Router;
-use super::attempt::AttemptTerms;
-use super::servers::Chosen;
 
 /// Time after the deadline in which the last step may still end by its own limit.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
--- a/crates/calls/src/router/servers.rs
+++ b/crates/calls/src/router/servers.rs
@@ -11,13 +11,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::health::Evidence;
+use super::health::Health;
 use crate::Load;
 use nutmegwalk_base::DataCentreId;
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::RegionId;
 use nutmegwalk_base::ServiceId;
-use super::health::Evidence;
-use super::health::Health;
 
 /// A load from an answer is preferred to one from a report for this long, since reports are up to
 /// two seconds old when they arrive.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,38 @@
 //! Entry host daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use eyre::WrapErr;
+
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_node::Entry;
+use nutmegwalk_node::NodeOptions;
+use nutmegwalk_node::settings::EntrySettings;
+use nutmegwalk_node::shutdown;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("nutmegwalk-entry: {report:#}");
+            let kind = report
+                .downcast_ref::<Error>()
+                .map_or(ErrorKind::Internal, |error| error.kind);
+            ExitCode::from(kind.exit_code())
+        }
+    }
+}
+
+fn run() -> eyre::Result<()> {
+    let settings = EntrySettings::parse();
+    settings.check()?;
+    nutmegwalk_base::logging::start(settings.common.log_level)?;
+    let runtime = compio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
+    runtime.block_on(async {
+        let entry = Entry::bind(settings, NodeOptions::new()).await?;
+        entry.run(shutdown::on_signal()).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/node/src/common.rs
@@ -0,0 +1,71 @@
+//! What entry hosts and agents set up in the same way.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::duty_store::DutyStore;
+use crate::options::NodeOptions;
+use crate::settings::CommonSettings;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::metrics::Metrics;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_store::Duty;
+use nutmegwalk_store::HttpStore;
+use nutmegwalk_store::StoreClient;
+use nutmegwalk_sync::View;
+
+/// Connections of one process.
+pub(crate) struct Links {
+    pub(crate) client: Client,
+    pub(crate) store: StoreClient,
+}
+
+impl Links {
+    pub(crate) fn new(settings: &CommonSettings, options: &NodeOptions) -> Result<Self> {
+        let mut client = Client::new(settings.name.clone(), settings.secret.clone())?;
+        if let Some(faults) = &options.faults {
+            client = client.with_faults(faults.clone());
+        }
+        let http = Rc::new(HttpStore::new(client.clone(), settings.store));
+        let store = StoreClient::new(http.clone(), http);
+        Ok(Self { client, store })
+    }
+
+    /// Returns the store as `duty` uses it, giving requests up after `deadline`.
+    pub(crate) fn duty(&self, duty: Duty, deadline: Duration) -> Rc<DutyStore> {
+        Rc::new(DutyStore::new(self.store.clone(), duty, deadline))
+    }
+}
+
+/// Answers `/healthz` and `/metrics`; `None` for other paths.
+pub(crate) fn handle_health(
+    request: &Request,
+    view: &View,
+    drain: &Drain,
+    metrics: &Metrics,
+) -> Option<Response> {
+    match &*request.path {
+        "/healthz" if drain.is_started() => Some(Response::new(503, "draining\n")),
+        "/healthz" if view.version() == 0 => {
+            Some(Response::new(503, "the configuration is not known\n"))
+        }
+        "/healthz" => Some(Response::new(200, "ready\n")),
+        "/metrics" => Some(match metrics.to_text() {
+            Ok(text) => {
+                Response::new(200, text).with_header("content-type", "text/plain; version=0.0.4")
+            }
+            Err(error) => Response::error(&error),
+        }),
+        _ => None,
+    }
+}
+
+/// Waits for `work`, at most for `limit`.
+pub(crate) async fn bounded(limit: Duration, work: impl Future<Output = ()>) {
+    if compio::time::timeout(limit, work).await.is_err() {
+        log::warn!("the planned stop goes on without waiting any longer after {limit:?}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/mod.rs
@@ -0,0 +1,414 @@
+//! The entry host: callers' and operators' side of the system.
+
+mod auth;
+mod dispatch;
+mod jobs;
+mod operators;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Method;
+use log::info;
+use log::warn;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+
+use crate::agent::AgentPayload;
+use crate::common::Links;
+use crate::common::bounded;
+use crate::common::handle_health;
+use crate::entry::auth::Authenticator;
+use crate::entry::dispatch::DataCentres;
+use crate::entry::dispatch::Dispatcher;
+use crate::entry::jobs::JobDesk;
+use crate::entry::operators::OperatorDesk;
+use crate::job_table::JobTable;
+use crate::options::NodeOptions;
+use crate::settings::EntrySettings;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::metrics::Metrics;
+use nutmegwalk_base::new_incarnation;
+use nutmegwalk_calls::CallRequest;
+use nutmegwalk_calls::Claims;
+use nutmegwalk_calls::ClaimsSettings;
+use nutmegwalk_calls::Router;
+use nutmegwalk_calls::RouterSettings;
+use nutmegwalk_calls::ServerEntry;
+use nutmegwalk_lease::Ownership;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Handler;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_net::Server;
+use nutmegwalk_net::ServerLimits;
+use nutmegwalk_net::decode;
+use nutmegwalk_store::Duty;
+use nutmegwalk_sync::Member;
+use nutmegwalk_sync::Membership;
+use nutmegwalk_sync::Payload;
+use nutmegwalk_sync::Publisher;
+use nutmegwalk_sync::Report;
+use nutmegwalk_sync::Role;
+use nutmegwalk_sync::SyncClient;
+use nutmegwalk_sync::SyncServer;
+use nutmegwalk_sync::SyncTimings;
+use nutmegwalk_sync::View;
+use nutmegwalk_sync::ViewReader;
+
+/// Time for the store requests of a caller or operator.
+const STORE_DEADLINE: Duration = Duration::from_secs(4);
+/// Time between two looks for changes of the membership.
+const MEMBERSHIP_POLL: Duration = Duration::from_millis(100);
+/// Deadline of a call to a service that is not configured; the call is then refused.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Lease of the dispatcher's duty.
+const DISPATCH_DUTY: &str = "dispatch";
+
+/// A running entry host.
+pub struct Entry {
+    shared: Rc<Shared>,
+    server: Server,
+}
+
+struct Shared {
+    settings: EntrySettings,
+    address: SocketAddr,
+    view: View,
+    membership: Membership,
+    reader: ViewReader,
+    peers: SyncClient,
+    sync_server: SyncServer,
+    authenticator: Authenticator,
+    router: Router,
+    jobs: JobDesk,
+    operators: OperatorDesk,
+    data_centres: Rc<DataCentres>,
+    dispatcher: Dispatcher,
+    dispatch_lease: Rc<Ownership>,
+    metrics: Metrics,
+    requests: Counter<u64>,
+    drain: Drain,
+}
+
+impl Entry {
+    /// Binds the entry host's address and sets everything up.
+    ///
+    /// # Errors
+    /// `invalid_setting` or `address_in_use`.
+    pub async fn bind(settings: EntrySettings, options: NodeOptions) -> Result<Self> {
+        settings.check()?;
+        let common = &settings.common;
+        let server = Server::bind(common.listen, ServerLimits::default()).await?;
+        let address = server.local_address();
+        let links = Links::new(common, &options)?;
+        let timings = SyncTimings::default();
+        let view = View::new(timings);
+        let membership = Membership::new(timings);
+        let configuration_store = links.duty(Duty::Ownership, timings.read_timeout);
+        let reader = ViewReader::new(
+            configuration_store.clone(),
+            configuration_store,
+            view.clone(),
+            timings,
+        );
+        let report = Report {
+            process: common.name.clone(),
+            role: Role::Entry,
+            incarnation: new_incarnation(),
+            data_centre: None,
+            worker: None,
+            address,
+            draining: false,
+            payload: Payload::default(),
+            revision: 1,
+        };
+        let peers = SyncClient::new(
+            links.client.clone(),
+            view.clone(),
+            report,
+            settings.peers.clone(),
+            timings,
+        )
+        .with_members(membership.clone());
+        let acceptance = links.duty(Duty::Acceptance, STORE_DEADLINE);
+        let claims = Claims::new(
+            acceptance.clone(),
+            acceptance.clone(),
+            ClaimsSettings::default(),
+        );
+        let router_settings =
+            RouterSettings::new(common.data_centre.clone(), common.region.clone());
+        let router = Router::new(links.client.clone(), router_settings, Some(claims));
+        let data_centres = Rc::new(DataCentres::new(view.clone(), links.client.clone()));
+        let jobs = JobTable::new(acceptance.clone());
+        let dispatch_lease = Rc::new(Ownership::new(
+            links.store.clone(),
+            DISPATCH_DUTY,
+            common.name.clone(),
+            address.to_string(),
+        ));
+        let progress = JobTable::new(links.duty(Duty::Progress, STORE_DEADLINE));
+        let dispatcher = Dispatcher::new(
+            Rc::clone(&dispatch_lease),
+            progress,
+            Rc::clone(&data_centres),
+        );
+        let metrics = Metrics::new()?;
+        let shared = Shared {
+            address,
+            sync_server: SyncServer::new(
+                view.clone(),
+                membership.clone(),
+                common.secret.clone(),
+                timings,
+            ),
+            authenticator: Authenticator::new(
+                view.clone(),
+                settings.bootstrap_operator_digest.clone(),
+            ),
+            jobs: JobDesk {
+                view: view.clone(),
+                client: links.client.clone(),
+                jobs,
+                data_centres: Rc::clone(&data_centres),
+            },
+            operators: OperatorDesk {
+                view: view.clone(),
+                membership: membership.clone(),
+                publisher: Publisher::new(acceptance.clone(), acceptance),
+                data_centres: Rc::clone(&data_centres),
+            },
+            requests: metrics.meter().u64_counter("nutmegwalk_requests").build(),
+            view,
+            membership,
+            reader,
+            peers,
+            router,
+            data_centres,
+            dispatcher,
+            dispatch_lease,
+            metrics,
+            drain: Drain::new(),
+            settings,
+        };
+        Ok(Self {
+            shared: Rc::new(shared),
+            server,
+        })
+    }
+
+    /// Returns the address that the entry host listens on.
+    #[must_use]
+    pub fn local_address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Runs the entry host until `stop` starts, then finishes the requests in flight.
+    pub async fn run(self, stop: Drain) {
+        let Self { shared, server } = self;
+        let name = &*shared.settings.common.name;
+        info!(process = name, address:% = shared.address; "entry host started");
+        let closing = Drain::new();
+        let served = compio::runtime::spawn(server.serve(Rc::clone(&shared), closing.clone()));
+        shared.spawn_duties();
+        stop.started().await;
+        info!(process = name; "entry host is stopping");
+        let limit = Duration::from_millis(shared.settings.common.drain_ms);
+        shared.drain.start();
+        if let Err(error) = shared.dispatch_lease.release().await {
+            warn!(process = name; "{error}");
+        }
+        closing.start();
+        bounded(limit, async {
+            let _ = served.await;
+            shared.router.idle().await;
+        })
+        .await;
+        info!(process = name; "entry host stopped");
+    }
+}
+
+impl Shared {
+    fn spawn_duties(self: &Rc<Self>) {
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.reader.run(shared.drain.clone()).await })
+            .detach();
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.membership.run(shared.drain.clone()).await })
+            .detach();
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.peers.run_peers(shared.drain.clone()).await })
+            .detach();
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.data_centres.run(shared.drain.clone()).await })
+            .detach();
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.dispatcher.run(shared.drain.clone()).await })
+            .detach();
+        let lease = Rc::clone(&self.dispatch_lease);
+        compio::runtime::spawn(async move { lease.run().await }).detach();
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.follow_members().await }).detach();
+    }
+
+    /// Keeps the router's servers and rates as the membership and the configuration say.
+    async fn follow_members(&self) {
+        let mut seen = None;
+        while !self.drain.is_started() {
+            let newest = (self.membership.revision(), self.view.version());
+            if seen != Some(newest) {
+                seen = Some(newest);
+                self.router.update_servers(self.servers());
+                self.router.set_customer_rates(&self.customer_rates());
+            }
+            compio::time::sleep(MEMBERSHIP_POLL).await;
+        }
+    }
+
+    /// Returns the backend servers that can take calls: those of live agents in data centres in service.
+    fn servers(&self) -> Vec<ServerEntry> {
+        let configuration = self.view.configuration();
+        let entry = |member: Member| {
+            let payload: AgentPayload = decode(member.report.payload.as_bytes()).ok()?;
+            let data_centre = member.report.data_centre.clone()?;
+            let is_out = configuration.taken_out.contains_key(&data_centre);
+            let mut entry =
+                payload
+                    .server?
+                    .into_entry(member.report.address, data_centre, payload.region);
+            // Calls in flight finish; a server in a data centre that is out gets no new ones.
+            entry.leaving |= member.report.draining || is_out;
+            Some(entry)
+        };
+        self.membership
+            .alive()
+            .into_iter()
+            .filter_map(entry)
+            .collect()
+    }
+
+    /// Returns this entry host's part of the rates guaranteed to customers.
+    fn customer_rates(&self) -> BTreeMap<Box<str>, f64> {
+        let entries = self.settings.peers.len() + 1;
+        let configuration = self.view.configuration();
+        let rates = configuration.customers.iter().map(|(name, customer)| {
+            #[expect(clippy::cast_precision_loss, reason = "there are a few entry hosts")]
+            let rate = f64::from(customer.calls_per_second) / entries as f64;
+            (name.clone(), rate)
+        });
+        rates.collect()
+    }
+
+    async fn call(&self, request: &Request) -> Response {
+        let call = self.authenticator.customer(request).and_then(|customer| {
+            let configuration = self.view.configuration();
+            CallRequest::from_http(request, customer, |service| {
+                configuration
+                    .services
+                    .get(service)
+                    .map_or(DEFAULT_DEADLINE, |service| {
+                        Duration::from_millis(service.deadline_ms)
+                    })
+            })
+        });
+        match call {
+            Ok(call) => self.router.call(call).await.into_response(),
+            Err(error) => Response::error(&error),
+        }
+    }
+
+    async fn route(&self, request: &Request) -> Response {
+        let path = &*request.path;
+        if path.starts_with("/call/") {
+            return self.call(request).await;
+        }
+        if let Some(rest) = path.strip_prefix("/v1/jobs") {
+            return self.route_job(request, rest).await;
+        }
+        let operator = match self.authenticator.operator(request) {
+            Ok(operator) => operator,
+            Err(error) => return Response::error(&error),
+        };
+        match (&request.method, path) {
+            (&Method::POST, "/v1/publish") => {
+                Response::json(&self.operators.publish(&operator, &request.body).await)
+            }
+            (&Method::GET, "/v1/configuration") => {
+                Response::json(&self.operators.configuration().await)
+            }
+            (&Method::POST, "/v1/take-out") => {
+                Response::json(&self.operators.take_out(&operator, &request.body).await)
+            }
+            (&Method::POST, "/v1/return") => Response::json(
+                &self
+                    .operators
+                    .return_to_service(&operator, &request.body)
+                    .await,
+            ),
+            (&Method::GET, "/v1/status") => Response::json(&Ok(self.operators.status())),
+            (&Method::GET, "/v1/audit") => {
+                Response::json(&self.operators.audit(&request.query).await)
+            }
+            _ => not_found(path),
+        }
+    }
+
+    async fn route_job(&self, request: &Request, rest: &str) -> Response {
+        let key = request.header("nutmegwalk-key");
+        if (&request.method, rest) == (&Method::POST, "") {
+            return match self.authenticator.customer(request) {
+                Ok(customer) => {
+                    Response::json(&self.jobs.submit(customer, key, &request.body).await)
+                }
+                Err(error) => Response::error(&error),
+            };
+        }
+        let principal = match self.authenticator.principal(request) {
+            Ok(principal) => principal,
+            Err(error) => return Response::error(&error),
+        };
+        let parts: Vec<&str> = rest.split('/').skip(1).collect();
+        match (&request.method, parts.as_slice()) {
+            (&Method::GET, [job]) => Response::json(&self.jobs.status(&principal, job).await),
+            (&Method::DELETE, [job]) => Response::json(&self.jobs.cancel(&principal, job).await),
+            (&Method::GET, [job, "explain"]) => {
+                Response::json(&self.jobs.explain(&principal, job).await)
+            }
+            _ => not_found(&request.path),
+        }
+    }
+}
+
+fn not_found(path: &str) -> Response {
+    let error: Result<()> = Err(Error::new(
+        ErrorKind::NotFound,
+        format!("`{path}` does not exist"),
+    ));
+    Response::json(&error)
+}
+
+impl Handler for Shared {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        if let Some(response) = handle_health(&request, &self.view, &self.drain, &self.metrics) {
+            return response;
+        }
+        if let Some(response) = self.sync_server.handle(&request) {
+            return response;
+        }
+        let response = self.route(&request).await;
+        let outcome = response
+            .headers
+            .get("nutmegwalk-outcome")
+            .and_then(|value| value.to_str().ok());
+        let outcome = outcome.unwrap_or(Outcome::Done.name()).to_owned();
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        log::debug!(request_id = &*request.request_id; "{} {} {}", request.method, request.path, response.status);
+        response
+    }
+}
--- /dev/null
+++ b/crates/node/src/job_table.rs
@@ -0,0 +1,200 @@
+//! Reads and writes of job rows.
+
+use std::rc::Rc;
+
+use crate::jobs::JobRecord;
+use crate::jobs::JobState;
+use crate::jobs::from_json;
+use crate::jobs::home_key;
+use crate::jobs::home_prefix;
+use crate::jobs::job_key;
+use crate::jobs::to_json;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::Result;
+use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::TableStore;
+use nutmegwalk_store::Transaction;
+use nutmegwalk_store::TransactionOutcome;
+
+/// Rows read by one scan of a home.
+const PAGE_ROWS: usize = 500;
+
+/// A job with the version of its row.
+#[derive(Clone, Debug)]
+pub struct StoredJob {
+    /// The row's content.
+    pub record: JobRecord,
+    /// Version of the row, a condition of the next write.
+    pub version: RowVersion,
+}
+
+/// The rows of jobs in the table.
+#[derive(Clone)]
+pub struct JobTable {
+    table: Rc<dyn TableStore>,
+}
+
+impl JobTable {
+    /// Creates the reader and writer of job rows in `table`.
+    #[must_use]
+    pub fn new(table: Rc<dyn TableStore>) -> Self {
+        Self { table }
+    }
+
+    /// Makes an accepted job durable. A job that is there already with the same request is returned.
+    ///
+    /// # Errors
+    /// `key_reused` when the id belongs to another request; errors of the store.
+    pub async fn accept(&self, record: &JobRecord) -> Result<StoredJob> {
+        let key = job_key(&record.id);
+        let transaction = Transaction::new()
+            .with_absent(key.clone())
+            .with_put(key, to_json(record)?)
+            .with_put(home_key(&record.home, &record.id), "{}");
+        match self.table.transact(&transaction).await? {
+            TransactionOutcome::Committed { version } => Ok(StoredJob {
+                record: record.clone(),
+                version,
+            }),
+            TransactionOutcome::Rejected { .. } => {
+                let stored = self.read(&record.id).await?;
+                if stored.record.request == record.request
+                    && stored.record.customer == record.customer
+                {
+                    return Ok(stored);
+                }
+                Err(Error::new(
+                    ErrorKind::KeyReused,
+                    "the key was used before for another job",
+                ))
+            }
+        }
+    }
+
+    /// Reads a job.
+    ///
+    /// # Errors
+    /// `not_found` when there is no such job; errors of the store.
+    pub async fn read(&self, id: &str) -> Result<StoredJob> {
+        let keys = [job_key(id)];
+        let rows = self.table.get(&keys).await?;
+        let Some(Some(row)) = rows.into_iter().next() else {
+            return Err(Error::new(
+                ErrorKind::NotFound,
+                format!("job `{id}` does not exist"),
+            ));
+        };
+        Ok(StoredJob {
+            record: from_json(&row.key, &row.value)?,
+            version: row.version,
+        })
+    }
+
+    /// Reads the jobs with these ids; ids without a row are left out.
+    ///
+    /// # Errors
+    /// Errors of the store.
+    pub async fn read_all(&self, ids: &[JobId]) -> Result<Vec<StoredJob>> {
+        let keys: Vec<Box<str>> = ids.iter().map(|id| job_key(id)).collect();
+        let mut jobs = Vec::new();
+        for page in keys.chunks(PAGE_ROWS) {
+            for row in self.table.get(page).await?.into_iter().flatten() {
+                jobs.push(StoredJob {
+                    record: from_json(&row.key, &row.value)?,
+                    version: row.version,
+                });
+            }
+        }
+        Ok(jobs)
+    }
+
+    /// Lists the ids of the jobs that have `home`.
+    ///
+    /// # Errors
+    /// Errors of the store.
+    pub async fn list_home(&self, home: &str) -> Result<Vec<JobId>> {
+        let prefix = home_prefix(home);
+        let mut ids: Vec<JobId> = Vec::new();
+        let mut after: Box<str> = "".into();
+        loop {
+            let rows = self.table.scan(&prefix, &after, PAGE_ROWS).await?;
+            let Some(last) = rows.last() else {
+                return Ok(ids);
+            };
+            after = last.key.clone();
+            ids.extend(rows.iter().map(|row| row.key[prefix.len()..].into()));
+            if rows.len() < PAGE_ROWS {
+                return Ok(ids);
+            }
+        }
+    }
+
+    /// Replaces a job's row if it still has the version that was read.
+    ///
+    /// The index row follows the home, and is removed when the job has ended. `fence` holds the
+    /// conditions under which the writer still owns the job.
+    ///
+    /// # Errors
+    /// `conflict` when the row has changed, `stale_epoch` when the fence does not hold; errors of the
+    /// store.
+    pub async fn replace(
+        &self,
+        stored: &StoredJob,
+        record: JobRecord,
+        fence: &Transaction,
+    ) -> Result<StoredJob> {
+        let key = job_key(&record.id);
+        let old_home = home_key(&stored.record.home, &record.id);
+        let mut transaction = fence.clone().with_version(key.clone(), stored.version);
+        transaction = transaction.with_put(key, to_json(&record)?);
+        if record.state.is_final() {
+            transaction = transaction.with_delete(old_home);
+        } else if record.home != stored.record.home {
+            transaction = transaction
+                .with_delete(old_home)
+                .with_put(home_key(&record.home, &record.id), "{}");
+        }
+        match self.table.transact(&transaction).await? {
+            TransactionOutcome::Committed { version } => Ok(StoredJob { record, version }),
+            TransactionOutcome::Rejected { failed_conditions } => {
+                if failed_conditions
+                    .iter()
+                    .any(|index| *index < fence.conditions.len())
+                {
+                    return Err(Error::new(
+                        ErrorKind::StaleEpoch,
+                        "another process owns the data centre",
+                    ));
+                }
+                Err(Error::new(
+                    ErrorKind::Conflict,
+                    format!("job `{}` was changed by another process", record.id),
+                ))
+            }
+        }
+    }
+
+    /// Marks a job as to be cancelled; a job that has ended stays as it is.
+    ///
+    /// # Errors
+    /// `not_found`; errors of the store.
+    pub async fn request_cancel(&self, id: &str) -> Result<StoredJob> {
+        loop {
+            let stored = self.read(id).await?;
+            if stored.record.state != JobState::Accepted {
+                return Ok(stored);
+            }
+            let record = JobRecord {
+                state: JobState::Cancelling,
+                ..stored.record.clone()
+            };
+            match self.replace(&stored, record, &Transaction::new()).await {
+                // The owner wrote the row in between; the new state decides.
+                Err(error) if error.kind == ErrorKind::Conflict => {}
+                result => return result,
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,18 @@
 //! Assembly of entry hosts, agents and data-centre owners.
+
+pub mod agent;
+pub mod api;
+mod common;
+mod duty_store;
+pub mod entry;
+pub mod job_table;
+pub mod jobs;
+mod options;
+pub mod owner;
+pub mod settings;
+pub mod shutdown;
+
+pub use agent::Agent;
+pub use duty_store::DutyStore;
+pub use entry::Entry;
+pub use options::NodeOptions;
--- /dev/null
+++ b/crates/node/src/options.rs
@@ -0,0 +1,35 @@
+//! What a program that embeds a role can change beyond its settings.
+
+use std::sync::Arc;
+
+use nutmegwalk_fleet::Policy;
+use nutmegwalk_net::LinkFaults;
+
+/// Options of an embedded role, for tests and measurements.
+#[derive(Clone, Default)]
+pub struct NodeOptions {
+    pub(crate) faults: Option<Arc<dyn LinkFaults>>,
+    pub(crate) policy: Policy,
+}
+
+impl NodeOptions {
+    /// Creates the options of production: no faults, the default policy.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Injects faults on the links of the role.
+    #[must_use]
+    pub fn with_faults(mut self, faults: Arc<dyn LinkFaults>) -> Self {
+        self.faults = Some(faults);
+        self
+    }
+
+    /// Sets the placement policy.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/term.rs
@@ -0,0 +1,317 @@
+//! What an owner knows during one term, from winning its lease to losing it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::job_table::StoredJob;
+use crate::jobs::JobRecord;
+use crate::jobs::RunRecord;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Incarnation;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::WorkerId;
+use nutmegwalk_config::Adjacency;
+use nutmegwalk_config::Configuration;
+use nutmegwalk_config::WorkerShape;
+use nutmegwalk_fleet::Degraded;
+use nutmegwalk_fleet::Fleet;
+use nutmegwalk_fleet::GuaranteeSpec;
+use nutmegwalk_fleet::JobSpec;
+use nutmegwalk_fleet::Placement;
+use nutmegwalk_fleet::Policy;
+use nutmegwalk_fleet::Shape;
+use nutmegwalk_fleet::StopReason;
+use nutmegwalk_gang::Attempt;
+use nutmegwalk_gang::GangEnd;
+use nutmegwalk_gang::GangHandle;
+use nutmegwalk_gang::GangMember;
+use nutmegwalk_gang::GangReport;
+use nutmegwalk_gang::GangSpec;
+use nutmegwalk_gang::MemberSpec;
+use nutmegwalk_gang::Running;
+
+/// State of a job during a term.
+pub(crate) enum Phase {
+    /// An attempt of an earlier term may still run; reports decide.
+    Unresolved,
+    /// The planner has the job in its queue.
+    Queued,
+    /// An attempt is being started.
+    Starting {
+        /// Set when the job has to stop as soon as the start has ended.
+        stop: Option<StopReason>,
+    },
+    /// The gang runs.
+    Running {
+        /// The gang, for commands to it.
+        gang: GangHandle<Running>,
+        /// When the owner learned that the gang runs.
+        since: Instant,
+    },
+    /// The gang is being stopped, or its end is being recorded.
+    Ending,
+}
+
+/// A job of the data centre.
+pub(crate) struct JobEntry {
+    pub(crate) stored: StoredJob,
+    pub(crate) phase: Phase,
+}
+
+impl JobEntry {
+    pub(crate) fn attempt(&self) -> Option<Attempt> {
+        self.stored.record.run.as_ref().map(|run| run.attempt)
+    }
+}
+
+/// A worker as its agent last reported it.
+pub(crate) struct WorkerEntry {
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) last_heard: Instant,
+    pub(crate) usable: bool,
+    pub(crate) gangs: GangReport,
+}
+
+/// State of one term.
+pub(crate) struct Term {
+    pub(crate) epoch: Epoch,
+    pub(crate) started: Instant,
+    pub(crate) fleet: Fleet,
+    pub(crate) jobs: BTreeMap<JobId, JobEntry>,
+    pub(crate) workers: BTreeMap<WorkerId, WorkerEntry>,
+    pub(crate) loaded: bool,
+    pub(crate) config_version: Option<u64>,
+    pub(crate) in_service: bool,
+    next_sequence: u64,
+    logged_degraded: Vec<Degraded>,
+}
+
+impl Term {
+    pub(crate) fn new(epoch: Epoch, policy: Policy) -> Self {
+        Self {
+            epoch,
+            started: Instant::now(),
+            fleet: Fleet::new(policy),
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            loaded: false,
+            config_version: None,
+            in_service: true,
+            next_sequence: 1,
+            logged_degraded: Vec::new(),
+        }
+    }
+
+    /// Returns the planner's time.
+    pub(crate) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> Attempt {
+        let attempt = Attempt {
+            epoch: self.epoch,
+            sequence: self.next_sequence,
+        };
+        self.next_sequence += 1;
+        attempt
+    }
+
+    /// Takes over the parts of a configuration that concern the data centre.
+    pub(crate) fn configure(
+        &mut self,
+        configuration: &Configuration,
+        data_centre: &str,
+        in_service: bool,
+    ) {
+        if self.config_version == Some(configuration.version) {
+            return;
+        }
+        self.config_version = Some(configuration.version);
+        let now = self.now();
+        for (name, customer) in &configuration.customers {
+            self.fleet.set_customer_weight(name, customer.weight, now);
+        }
+        self.fleet
+            .set_guarantees(guarantees_of(configuration, data_centre), now);
+        self.in_service = in_service;
+        self.fleet.set_in_service(in_service, now);
+    }
+
+    /// Logs which guarantees the remaining hardware cannot hold, after each change.
+    pub(crate) fn log_degraded(&mut self) {
+        let degraded = self.fleet.degraded();
+        if degraded == self.logged_degraded {
+            return;
+        }
+        for guarantee in &degraded {
+            log::warn!(
+                customer = &*guarantee.customer, guarantee = &*guarantee.guarantee;
+                "guarantee_degraded: {} parts have no worker", guarantee.lost_parts
+            );
+        }
+        if degraded.is_empty() {
+            log::info!("all guarantees are held again");
+        }
+        self.logged_degraded = degraded;
+    }
+
+    /// Builds the gang of a job from its placements.
+    pub(crate) fn gang_spec(&self, record: &JobRecord, run: &RunRecord) -> Result<GangSpec> {
+        let mut members = Vec::new();
+        for placement in &run.placements {
+            let worker = self.workers.get(&placement.worker).ok_or_else(|| {
+                Error::new(
+                    ErrorKind::Unreachable,
+                    format!("worker `{}` is not known", placement.worker),
+                )
+            })?;
+            for _ in 0..placement.tasks {
+                members.push(GangMember {
+                    spec: member_spec(u32::try_from(members.len()).unwrap_or(u32::MAX), record),
+                    agent: worker.address,
+                    worker: placement.worker.clone(),
+                });
+            }
+        }
+        Ok(GangSpec {
+            job: record.id.clone(),
+            attempt: run.attempt,
+            customer: record.customer.clone(),
+            borrowed: run.borrowed,
+            payload: record.request.payload.clone(),
+            checkpoint_ms: record.checkpoint_ms,
+            members,
+        })
+    }
+}
+
+fn member_spec(member: u32, record: &JobRecord) -> MemberSpec {
+    let WorkerShape {
+        cores,
+        memory_mb,
+        accelerators,
+    } = record.request.shape;
+    MemberSpec {
+        member,
+        cores,
+        memory_mb,
+        accelerators,
+    }
+}
+
+/// Returns the planner's form of a job.
+pub(crate) fn job_spec(record: &JobRecord) -> JobSpec {
+    let request = &record.request;
+    let mut spec = JobSpec::new(
+        record.id.clone(),
+        record.customer.clone(),
+        request.service.clone(),
+        request.tasks,
+        shape(request.shape),
+    )
+    .with_adjacency(adjacency(request.adjacency));
+    spec.guarantee = request.guarantee.clone();
+    spec.declared_run_time = Duration::from_millis(request.declared_run_ms.unwrap_or(0));
+    spec.checkpoint = Duration::from_millis(record.checkpoint_ms);
+    spec.age =
+        Duration::from_millis(crate::jobs::unix_ms().saturating_sub(record.accepted_unix_ms));
+    spec
+}
+
+/// Returns the guarantees that a data centre holds, as home or as standby.
+fn guarantees_of(configuration: &Configuration, data_centre: &str) -> Vec<GuaranteeSpec> {
+    let mut specs = Vec::new();
+    for (customer, entry) in &configuration.customers {
+        for (name, guarantee) in &entry.guarantees {
+            let is_home = &*guarantee.data_centre == data_centre;
+            if is_home || guarantee.standby.as_deref() == Some(data_centre) {
+                specs.push(GuaranteeSpec {
+                    customer: customer.clone(),
+                    name: name.clone(),
+                    workers: guarantee.workers,
+                    shape: shape(guarantee.shape),
+                    adjacency: adjacency(guarantee.adjacency),
+                    reclaim_within: Duration::from_millis(guarantee.reclaim_within_ms),
+                });
+            }
+        }
+    }
+    specs
+}
+
+/// Returns the planner's form of a size.
+pub(crate) fn shape(shape: WorkerShape) -> Shape {
+    Shape::new(shape.cores, shape.memory_mb, shape.accelerators)
+}
+
+fn adjacency(adjacency: Adjacency) -> nutmegwalk_fleet::Adjacency {
+    match adjacency {
+        Adjacency::Rack => nutmegwalk_fleet::Adjacency::Rack,
+        Adjacency::DataCentre => nutmegwalk_fleet::Adjacency::DataCentre,
+    }
+}
+
+/// What the reports of an attempt's workers say together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AttemptView {
+    /// A worker of the attempt has not reported yet.
+    Incomplete,
+    /// All parts run.
+    Running,
+    /// The lead has seen the gang's end.
+    Ended(GangEnd),
+    /// A part is missing, so the rest has to be stopped.
+    Broken,
+}
+
+/// Judges an attempt from the reports of the workers in `placements`.
+///
+/// Only reports of agents that already refuse epochs below `epoch` count, because others could still
+/// start the attempt for an earlier owner. Workers are given up as silent once `silence_is_final`.
+pub(crate) fn judge_attempt(
+    workers: &BTreeMap<WorkerId, WorkerEntry>,
+    job: &str,
+    attempt: Attempt,
+    placements: &[Placement],
+    epoch: Epoch,
+    silence_is_final: bool,
+) -> AttemptView {
+    use nutmegwalk_gang::AttemptPhase;
+
+    let mut all_run = true;
+    let mut incomplete = false;
+    for placement in placements {
+        let report = workers
+            .get(&placement.worker)
+            .map(|worker| &worker.gangs)
+            .filter(|gangs| {
+                gangs.recovered && gangs.epoch_floor.is_some_and(|floor| floor >= epoch)
+            });
+        let Some(report) = report else {
+            incomplete = true;
+            continue;
+        };
+        let found = report
+            .attempts
+            .iter()
+            .find(|one| &*one.job == job && one.attempt == attempt);
+        match found {
+            Some(part) if part.lead && part.phase == AttemptPhase::Ended => {
+                return AttemptView::Ended(part.end.unwrap_or(GangEnd::Lost));
+            }
+            Some(part) if part.phase == AttemptPhase::Running => {}
+            _ => all_run = false,
+        }
+    }
+    match (all_run, incomplete) {
+        (true, false) => AttemptView::Running,
+        (_, true) if !silence_is_final => AttemptView::Incomplete,
+        _ => AttemptView::Broken,
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/deployment/mod.rs
@@ -0,0 +1,392 @@
+//! The whole product in one process: each role on its own thread with its own address.
+
+mod backend;
+mod links;
+mod operator;
+mod role;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use crate::deployment::backend::Backend;
+use crate::deployment::backend::BackendPlan;
+use crate::deployment::role::Bound;
+use crate::platform::Platform;
+use crate::platform::WorkerSize;
+use nutmegwalk_base::DataCentreId;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::WorkerId;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_base::secret::token_digest;
+use nutmegwalk_config::Configuration;
+use nutmegwalk_config::WorkerShape;
+use nutmegwalk_fleet::Policy;
+use nutmegwalk_net::Drain;
+use nutmegwalk_node::Agent;
+use nutmegwalk_node::Entry;
+use nutmegwalk_node::NodeOptions;
+use nutmegwalk_node::settings::AgentSettings;
+use nutmegwalk_node::settings::CommonSettings;
+use nutmegwalk_node::settings::EntrySettings;
+
+pub use backend::Executions;
+pub use links::Links;
+pub use operator::ApiClient;
+pub use role::Role;
+
+/// Token of the operator who may publish the first configuration of a deployment.
+pub const BOOTSTRAP_TOKEN: &str = "bootstrap-operator-token";
+/// Secret of a deployment's processes.
+const SECRET: &str = "loopback-deployment-secret";
+/// Group of links in which the platform stands.
+pub const PLATFORM_GROUP: &str = "platform";
+
+impl Bound for Entry {
+    fn address(&self) -> SocketAddr {
+        self.local_address()
+    }
+
+    async fn run(self, stop: Drain) {
+        Entry::run(self, stop).await;
+    }
+}
+
+impl Bound for Agent {
+    fn address(&self) -> SocketAddr {
+        self.local_address()
+    }
+
+    async fn run(self, stop: Drain) {
+        Agent::run(self, stop).await;
+    }
+}
+
+/// What a deployment is made of.
+#[derive(Clone, Debug)]
+pub struct DeploymentPlan {
+    /// Configuration to publish; its data centres, racks and workers are started.
+    pub configuration: Configuration,
+    /// Number of entry hosts; they stand in the regions in turn.
+    pub entries: usize,
+    /// Placement policy of the data-centre owners.
+    pub policy: Policy,
+    /// Time that a backend server takes for a call.
+    pub service_time: Duration,
+    /// Seed of the platform's random faults.
+    pub seed: u64,
+}
+
+impl DeploymentPlan {
+    /// Creates a plan with two entry hosts for the operators' files in `directories`.
+    ///
+    /// # Errors
+    /// `invalid_configuration` or `guarantees_clash`, naming the file.
+    pub fn new(directories: &[PathBuf], seed: u64) -> Result<Self> {
+        let configuration = nutmegwalk_config::load(directories)?;
+        nutmegwalk_config::validate(&configuration)?;
+        Ok(Self {
+            configuration,
+            entries: 2,
+            policy: Policy::Guaranteed,
+            service_time: Duration::from_millis(5),
+            seed,
+        })
+    }
+}
+
+/// One worker of a deployment with what stands beside it.
+#[derive(Clone, Debug)]
+pub struct WorkerSite {
+    /// Name of the worker.
+    pub worker: WorkerId,
+    /// Data centre of the worker.
+    pub data_centre: DataCentreId,
+    /// Rack of the worker.
+    pub rack: Box<str>,
+    /// Size of the worker.
+    pub shape: WorkerShape,
+}
+
+/// A running deployment on loopback.
+pub struct Deployment {
+    plan: DeploymentPlan,
+    /// The platform stand-in.
+    pub platform: Platform,
+    /// Faults on the links between regions.
+    pub links: Links,
+    /// Calls that ran on the backend servers.
+    pub executions: Executions,
+    sites: Vec<WorkerSite>,
+    entries: BTreeMap<Box<str>, Role>,
+    agents: BTreeMap<WorkerId, Role>,
+    backends: BTreeMap<WorkerId, Role>,
+    entry_addresses: Vec<SocketAddr>,
+}
+
+impl Deployment {
+    /// Starts the platform, the entry hosts, and an agent and a backend server beside each worker.
+    ///
+    /// # Errors
+    /// Those of the roles that cannot be started.
+    pub fn start(plan: DeploymentPlan) -> Result<Self> {
+        let platform = Platform::start(plan.seed)?;
+        let mut deployment = Self {
+            sites: sites(&plan.configuration),
+            platform,
+            links: Links::new(),
+            executions: Executions::default(),
+            entries: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            entry_addresses: Vec::new(),
+            plan,
+        };
+        deployment
+            .links
+            .place("platform", deployment.platform.address(), PLATFORM_GROUP);
+        deployment.start_entries()?;
+        for site in deployment.sites.clone() {
+            let size = WorkerSize {
+                cores: site.shape.cores,
+                memory_mb: site.shape.memory_mb,
+                accelerators: site.shape.accelerators,
+            };
+            deployment.platform.add_worker(&site.worker, size);
+            deployment.start_agent(&site.worker)?;
+            deployment.start_backend(&site.worker)?;
+        }
+        Ok(deployment)
+    }
+
+    /// Returns the plan that the deployment was started from.
+    #[must_use]
+    pub fn plan(&self) -> &DeploymentPlan {
+        &self.plan
+    }
+
+    /// Returns all workers.
+    #[must_use]
+    pub fn sites(&self) -> &[WorkerSite] {
+        &self.sites
+    }
+
+    /// Returns the addresses of the entry hosts, also of those that do not run.
+    #[must_use]
+    pub fn entry_addresses(&self) -> &[SocketAddr] {
+        &self.entry_addresses
+    }
+
+    /// Returns a client of the entry hosts that shows `token`.
+    ///
+    /// # Errors
+    /// `internal` when the HTTP client cannot be set up.
+    pub fn api(&self, token: &str) -> Result<ApiClient> {
+        ApiClient::new(self.entry_addresses.clone(), token)
+    }
+
+    fn start_entries(&mut self) -> Result<()> {
+        // All addresses have to be known before the first entry host starts, to name its peers.
+        let reserved: Vec<std::net::TcpListener> = (0..self.plan.entries)
+            .map(|_| std::net::TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))))
+            .collect::<std::io::Result<_>>()
+            .map_err(|error| Error::new(ErrorKind::AddressInUse, error.to_string()))?;
+        for listener in &reserved {
+            let address = listener
+                .local_addr()
+                .map_err(|error| Error::new(ErrorKind::AddressInUse, error.to_string()))?;
+            self.entry_addresses.push(address);
+        }
+        drop(reserved);
+        for index in 0..self.plan.entries {
+            self.start_entry(index)?;
+        }
+        Ok(())
+    }
+
+    /// Starts the entry host with this index, also again after it was stopped.
+    ///
+    /// # Errors
+    /// Those of the entry host.
+    pub fn start_entry(&mut self, index: usize) -> Result<()> {
+        let regions = self
+            .plan
+            .configuration
+            .data_centres
+            .iter()
+            .collect::<Vec<_>>();
+        let (data_centre, site) = regions.get(index % regions.len().max(1)).ok_or_else(|| {
+            Error::new(ErrorKind::InvalidConfiguration, "there is no data centre")
+        })?;
+        let name: Box<str> = format!("entry-{index}").into();
+        let address = self.entry_addresses[index];
+        let settings = EntrySettings {
+            common: self.common(&name, address, data_centre, &site.region),
+            bootstrap_operator_digest: Some(token_digest(BOOTSTRAP_TOKEN)),
+            peers: self
+                .entry_addresses
+                .iter()
+                .copied()
+                .filter(|peer| *peer != address)
+                .collect(),
+        };
+        self.links.place(&name, address, &site.region);
+        let options = self.options();
+        let role = Role::spawn(name.clone(), move || Entry::bind(settings, options))?;
+        self.entries.insert(name, role);
+        Ok(())
+    }
+
+    /// Starts the agent beside `worker`, also again after it was stopped.
+    ///
+    /// # Errors
+    /// `not_found` for an unknown worker; those of the agent.
+    pub fn start_agent(&mut self, worker: &str) -> Result<()> {
+        let site = self.site(worker)?.clone();
+        let region = self.region(&site.data_centre);
+        let name: Box<str> = format!("agent-{worker}").into();
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = AgentSettings {
+            common: self.common(&name, listen, &site.data_centre, &region),
+            worker: site.worker.clone(),
+            rack: site.rack.clone(),
+            worker_address: self.platform.address(),
+            cores: site.shape.cores,
+            memory_mb: site.shape.memory_mb,
+            accelerators: site.shape.accelerators,
+            entries: self.entry_addresses.clone(),
+        };
+        let options = self.options();
+        let role = Role::spawn(name.clone(), move || Agent::bind(settings, options))?;
+        self.links.place(&name, role.address(), &region);
+        self.agents.insert(site.worker, role);
+        Ok(())
+    }
+
+    /// Starts the backend server beside `worker`, also again after it was stopped.
+    ///
+    /// # Errors
+    /// `not_found` for an unknown worker or when its agent does not run.
+    pub fn start_backend(&mut self, worker: &str) -> Result<()> {
+        let services = &self.plan.configuration.services;
+        let Some((service, limits)) = services.iter().next() else {
+            return Ok(());
+        };
+        let agent = self.agents.get(worker).map(Role::address).ok_or_else(|| {
+            Error::new(
+                ErrorKind::NotFound,
+                format!("the agent of `{worker}` does not run"),
+            )
+        })?;
+        let name: Box<str> = format!("backend-{worker}").into();
+        let plan = BackendPlan {
+            name: name.clone(),
+            service: service.clone(),
+            slots: limits.slots,
+            connections: limits.connections,
+            agent,
+            secret: Secret::new(SECRET),
+            executions: Arc::clone(&self.executions),
+            service_time: self.plan.service_time,
+        };
+        let role = Role::spawn(name, move || Backend::bind(plan))?;
+        self.backends.insert(worker.into(), role);
+        Ok(())
+    }
+
+    /// Takes the running entry host with this index out of the deployment, to stop or kill it.
+    pub fn take_entry(&mut self, index: usize) -> Option<Role> {
+        self.entries.remove(&*format!("entry-{index}"))
+    }
+
+    /// Takes the running agent beside `worker` out of the deployment, to stop or kill it.
+    pub fn take_agent(&mut self, worker: &str) -> Option<Role> {
+        self.agents.remove(worker)
+    }
+
+    /// Takes the running backend server beside `worker` out of the deployment, to stop or kill it.
+    pub fn take_backend(&mut self, worker: &str) -> Option<Role> {
+        self.backends.remove(worker)
+    }
+
+    /// Returns the running entry host with this index.
+    #[must_use]
+    pub fn entry(&self, index: usize) -> Option<&Role> {
+        self.entries.get(&*format!("entry-{index}"))
+    }
+
+    /// Returns the running agent beside `worker`.
+    #[must_use]
+    pub fn agent(&self, worker: &str) -> Option<&Role> {
+        self.agents.get(worker)
+    }
+
+    fn options(&self) -> NodeOptions {
+        NodeOptions::new()
+            .with_faults(Arc::new(self.links.clone()))
+            .with_policy(self.plan.policy)
+    }
+
+    fn common(
+        &self,
+        name: &str,
+        listen: SocketAddr,
+        data_centre: &str,
+        region: &str,
+    ) -> CommonSettings {
+        CommonSettings {
+            name: name.into(),
+            listen,
+            data_centre: data_centre.into(),
+            region: region.into(),
+            store: self.platform.address(),
+            secret: Secret::new(SECRET),
+            log_level: LevelFilter::Info,
+            drain_ms: 30_000,
+        }
+    }
+
+    fn site(&self, worker: &str) -> Result<&WorkerSite> {
+        self.sites
+            .iter()
+            .find(|site| &*site.worker == worker)
+            .ok_or_else(|| {
+                Error::new(
+                    ErrorKind::NotFound,
+                    format!("worker `{worker}` does not exist"),
+                )
+            })
+    }
+
+    fn region(&self, data_centre: &str) -> Box<str> {
+        self.plan
+            .configuration
+            .data_centres
+            .get(data_centre)
+            .map_or_else(|| "".into(), |site| site.region.clone())
+    }
+}
+
+/// Returns the workers of all racks, named `<data centre>-<rack>-<number>`.
+fn sites(configuration: &Configuration) -> Vec<WorkerSite> {
+    let mut sites = Vec::new();
+    for (data_centre, site) in &configuration.data_centres {
+        for (rack, content) in &site.racks {
+            for number in 0..content.workers {
+                sites.push(WorkerSite {
+                    worker: format!("{data_centre}-{rack}-{number}").into(),
+                    data_centre: data_centre.clone(),
+                    rack: rack.clone(),
+                    shape: content.shape,
+                });
+            }
+        }
+    }
+    sites
+}
--- /dev/null
+++ b/crates/scenarios/src/deployment/role.rs
@@ -0,0 +1,168 @@
+//! One role of the product on its own thread and runtime, which can be stopped, killed and paused.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use futures_util::future::select;
+
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_net::Drain;
+
+/// Interval at which a role's thread looks at its controls.
+const CONTROL_POLL: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Default)]
+struct Control {
+    stopping: AtomicBool,
+    killed: AtomicBool,
+    paused: AtomicBool,
+}
+
+/// A role that runs on a thread of its own; dropping it kills it.
+#[derive(Debug)]
+pub struct Role {
+    name: Box<str>,
+    address: SocketAddr,
+    control: Arc<Control>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// A role that has bound its address.
+pub(crate) trait Bound: 'static {
+    /// Returns the address that the role listens on.
+    fn address(&self) -> SocketAddr;
+
+    /// Runs the role until `stop` starts and its work in flight has ended.
+    fn run(self, stop: Drain) -> impl Future<Output = ()>;
+}
+
+impl Role {
+    /// Starts a role on a new thread: `bind` sets it up there, and its address is returned with it.
+    pub(crate) fn spawn<B: Bound, F: Future<Output = Result<B>>>(
+        name: impl Into<Box<str>>,
+        bind: impl FnOnce() -> F + Send + 'static,
+    ) -> Result<Self> {
+        let name = name.into();
+        let control = Arc::new(Control::default());
+        let shared = Arc::clone(&control);
+        let (sender, receiver) = mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(move || {
+                let runtime = match compio::runtime::Runtime::new() {
+                    Ok(runtime) => runtime,
+                    Err(error) => {
+                        let _ =
+                            sender.send(Err(Error::new(ErrorKind::Internal, error.to_string())));
+                        return;
+                    }
+                };
+                runtime.block_on(async {
+                    match bind().await {
+                        Ok(bound) => {
+                            let _ = sender.send(Ok(bound.address()));
+                            run_controlled(bound, &shared).await;
+                        }
+                        Err(error) => {
+                            let _ = sender.send(Err(error));
+                        }
+                    }
+                });
+            })
+            .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
+        let address = receiver.recv().map_err(|_| {
+            Error::new(ErrorKind::Internal, format!("the thread of {name} ended"))
+        })??;
+        Ok(Self {
+            name,
+            address,
+            control,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the role's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the address that the role listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts a planned stop without waiting for its end.
+    pub fn begin_stop(&self) {
+        self.control.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the role has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
+    /// Stops the role gracefully and waits for its end.
+    pub fn stop(mut self) {
+        self.begin_stop();
+        self.join();
+    }
+
+    /// Ends the role at once; its connections break and its memory is lost.
+    pub fn kill(mut self) {
+        self.kill_now();
+    }
+
+    /// Freezes the role as a stopped process would be, or lets it go on.
+    pub fn set_paused(&self, paused: bool) {
+        self.control.paused.store(paused, Ordering::Relaxed);
+    }
+
+    fn kill_now(&mut self) {
+        self.control.killed.store(true, Ordering::Relaxed);
+        self.join();
+    }
+
+    fn join(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Role {
+    fn drop(&mut self) {
+        self.kill_now();
+    }
+}
+
+async fn run_controlled<B: Bound>(bound: B, control: &Control) {
+    let stop = Drain::new();
+    let killed = async {
+        loop {
+            if control.killed.load(Ordering::Relaxed) {
+                return;
+            }
+            if control.stopping.load(Ordering::Relaxed) {
+                stop.start();
+            }
+            // Blocks the whole runtime, so that nothing of the role makes progress.
+            while control.paused.load(Ordering::Relaxed) && !control.killed.load(Ordering::Relaxed)
+            {
+                std::thread::sleep(CONTROL_POLL);
+            }
+            compio::time::sleep(CONTROL_POLL).await;
+        }
+    };
+    select(pin!(bound.run(stop.clone())), pin!(killed)).await;
+}
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -1,3 +1,6 @@
 //! Platform stand-in and scenario runner.
 
+pub mod deployment;
+pub mod dev;
+pub mod measures;
 pub mod platform;
