--- a/crates/config/src/packing.rs
+++ b/crates/config/src/packing.rs
@@ -39,8 +39,9 @@
 
 /// Checks that `data_centre` has room for all `demands` at once.
 ///
-/// The embedding is first-fit decreasing; a rack-adjacent demand takes the fullest rack that has room
-/// for all its members. It may refuse a set that an exhaustive search could place.
+/// The embedding is best-fit decreasing: the largest demand comes first, and each takes the fullest
+/// workers with room, a rack-adjacent one the fullest rack with room for all its members. It may refuse
+/// a set that an exhaustive search could place.
 ///
 /// # Errors
 /// The clash that the first order met, when every order fails.
--- a/crates/sync/src/client.rs
+++ b/crates/sync/src/client.rs
@@ -42,6 +42,9 @@
 /// has one, and asking all of them would multiply the load.
 const STALE_ANSWERS_IN_ROUND: usize = 2;
 
+/// Upstreams of which is kept what they have; relays come and go, so the number has to be bounded.
+const MAX_LINKS: usize = 64;
+
 /// Counts of one client since its creation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SyncCounters {
@@ -235,14 +238,9 @@
             Err(_) => counters.failures += 1,
         }
         self.counters.set(counters);
-        let answer = match result {
-            Ok(answer) => answer,
-            Err(error) => {
-                // The upstream may have restarted without state, so everything is sent again.
-                self.links.borrow_mut().remove(&to);
-                return Err(error);
-            }
-        };
+        // After a failure the link stays as it is: what was not answered is sent again, and an upstream
+        // that restarted without state asks for what it lacks.
+        let answer = result?;
         let mut links = self.links.borrow_mut();
         let link = links.entry(to).or_default();
         link.delivered(&request.reports, &answer.wanted, sent);
@@ -281,6 +279,9 @@
     fn request(&self, to: SocketAddr, now: Instant) -> SyncRequest {
         let report = self.report.borrow();
         let mut links = self.links.borrow_mut();
+        if links.len() >= MAX_LINKS && !links.contains_key(&to) {
+            links.clear();
+        }
         let link = links.entry(to).or_default();
         let version = self.view.version();
         let interval = self.timings.digest_interval;
--- a/crates/sync/src/history.rs
+++ b/crates/sync/src/history.rs
@@ -98,35 +98,41 @@
         rows.first().and_then(Option::as_ref).map(parse).transpose()
     }
 
-    /// Returns the configurations after `held` up to version `to`, oldest first, each with the change
-    /// that led to it. The first one has no change when a snapshot was read.
+    /// Reads the configurations after `held` up to version `to`, oldest first, and hands them to `take`
+    /// in batches, so that a caller that is interrupted keeps what it has. Each comes with the change
+    /// that led to it, but for a snapshot.
     ///
     /// # Errors
     /// `store_unavailable` when the stores do not answer; `internal` when rows are missing or malformed.
-    pub async fn follow(&self, held: &Configuration, to: ConfigVersion) -> Result<Vec<Step>> {
-        let mut steps = Vec::new();
-        let mut current = Rc::new(held.clone());
+    pub async fn follow(
+        &self,
+        held: &Rc<Configuration>,
+        to: ConfigVersion,
+        mut take: impl FnMut(Vec<Step>),
+    ) -> Result<()> {
+        let mut current = Rc::clone(held);
         if to.saturating_sub(held.version) > SNAPSHOT_INTERVAL
             && let Some(snapshot) = self.snapshot(held.version, to).await?
         {
             current = Rc::new(snapshot);
-            steps.push(Step {
+            take(vec![Step {
                 configuration: Rc::clone(&current),
                 change: None,
-            });
+            }]);
         }
         while current.version < to {
-            let last = to.min(current.version + SNAPSHOT_INTERVAL);
+            let last = to.min(current.version.saturating_add(SNAPSHOT_INTERVAL));
             let keys: Vec<Box<str>> = (current.version + 1..=last)
                 .map(|version| versioned_key(CHANGE_PREFIX, version))
                 .collect();
+            let mut batch = Vec::new();
             for (row, key) in self.table.get(&keys).await?.iter().zip(&keys) {
                 let row = row.as_ref().ok_or_else(|| {
                     Error::new(ErrorKind::Internal, format!("row {key} is missing"))
                 })?;
                 let change = parse::<ChangeRow>(row)?.change;
                 current = Rc::new(apply(&current, &change)?);
-                steps.push(Step {
+                batch.push(Step {
                     configuration: Rc::clone(&current),
                     change: Some(Rc::new(change)),
                 });
@@ -135,8 +141,28 @@
                 let detail = format!("the table answered too few of {} rows", keys.len());
                 return Err(Error::new(ErrorKind::Internal, detail));
             }
+            take(batch);
         }
-        Ok(steps)
+        Ok(())
+    }
+
+    /// Returns the configuration of version `to`, starting from `held`.
+    ///
+    /// # Errors
+    /// As for [`History::follow`].
+    pub async fn configuration(
+        &self,
+        held: &Rc<Configuration>,
+        to: ConfigVersion,
+    ) -> Result<Rc<Configuration>> {
+        let mut newest = Rc::clone(held);
+        let take = |steps: Vec<Step>| {
+            if let Some(step) = steps.last() {
+                newest = Rc::clone(&step.configuration);
+            }
+        };
+        self.follow(held, to, take).await?;
+        Ok(newest)
     }
 
     /// Reads the newest snapshot with a version above `after` and at most `to`.
--- a/crates/sync/src/publisher.rs
+++ b/crates/sync/src/publisher.rs
@@ -118,15 +118,13 @@
                 break;
             };
             let held = Rc::clone(&self.known.borrow().configuration);
-            let steps = self.history.follow(&held, version).await?;
+            let newest = self.history.configuration(&held, version).await?;
             let mut known = self.known.borrow_mut();
             // Another task of this process may have written a newer version during the reads.
             if version < known.configuration.version {
                 continue;
             }
-            if let Some(step) = steps.last() {
-                known.configuration = Rc::clone(&step.configuration);
-            }
+            known.configuration = newest;
             known.head_row = Some(row);
             return Ok(Rc::clone(&known.configuration));
         }
@@ -363,11 +361,8 @@
         if self.history.objects.get_object(&name).await?.is_some() {
             return Ok(());
         }
-        let steps = self.history.follow(&Configuration::default(), due).await?;
-        match steps.last() {
-            Some(step) => self.history.write_snapshot(&step.configuration).await,
-            None => Ok(()),
-        }
+        let configuration = self.history.configuration(&Rc::default(), due).await?;
+        self.history.write_snapshot(&configuration).await
     }
 
     async fn conflict_since(&self, base: ConfigVersion, current: ConfigVersion) -> Error {
--- a/crates/sync/src/reader.rs
+++ b/crates/sync/src/reader.rs
@@ -12,6 +12,7 @@
 use crate::history::HEAD_KEY;
 use crate::history::Head;
 use crate::history::History;
+use crate::history::Step;
 use crate::history::parse;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
@@ -127,8 +128,11 @@
         };
         let held = self.view.configuration();
         if version > held.version {
-            let steps = self.history.follow(&held, version).await?;
-            self.view.advance(&steps);
+            // Batch by batch, so that a long history is caught up with in spite of the read timeout.
+            let advance = |steps: Vec<Step>| {
+                self.view.advance(&steps);
+            };
+            self.history.follow(&held, version, advance).await?;
         }
         self.view.confirm(version, sent);
         Ok(())
--- a/crates/sync/tests/view.rs
+++ b/crates/sync/tests/view.rs
@@ -188,7 +188,7 @@
         let bench = bench(patient());
         bench.publisher.publish("anna", &example(), None).await.unwrap();
         bench.reader.read_once().await.unwrap();
-        for value in ["", "{}", "[true]", "{\"version\":-1}", "{\"version\":3}"] {
+        for value in ["", "{}", "[true]", "{\"version\":-1}", "{\"version\":3}", "{\"version\":18446744073709551615}"] {
             put(&bench.table, "config/head", value);
             assert!(bench.reader.read_once().await.is_err(), "{value}");
             assert_eq!(bench.view.version(), 1);
@@ -200,6 +200,23 @@
         assert_eq!((bench.view.version(), bench.view.confirmed_at()), (1, confirmed));
     }
 
+    // Guards against a reader that never catches up with a long history, because each attempt starts anew.
+    interrupted_reader_keeps_what_it_has => {
+        let bench = bench(patient());
+        for weight in 1..=150 {
+            bench.publisher.publish("anna", &example_with_weight(1000 + weight), None).await.unwrap();
+        }
+        let gone = nutmegwalk_sync::versioned_key(nutmegwalk_sync::CHANGE_PREFIX, 140);
+        let row = bench.table.store.read(std::slice::from_ref(&gone))[0].clone().unwrap();
+        bench.table.store.apply(&Transaction::new().with_delete(gone));
+        assert!(bench.reader.read_once().await.is_err());
+        assert_eq!((bench.view.version(), bench.view.age()), (100, None));
+        put(&bench.table, &row.key, &row.value);
+        bench.reader.read_once().await.unwrap();
+        assert_eq!(bench.view.version(), 150);
+        assert!(bench.view.age().is_some());
+    }
+
     // Guards against a read that hangs and stops the reader for ever.
     hanging_read_is_given_up => {
         let timings = SyncTimings { read_timeout: Duration::from_millis(50), ..patient() };
