Test that an upstream asks for a report it has forgotten

Cause: since a failed poll no longer makes all reports be sent again, recovery rests on the upstream's question alone, and no test covered it over the network. Change: one test with a forgotten member and a failed poll in between. Conclusion: a forgotten report comes back at the second poll that is answered.

--- a/crates/sync/tests/sync.rs
+++ b/crates/sync/tests/sync.rs
@@ -411,6 +411,28 @@
         until("the report is repaired", || payload() == b"right").await;
     }
 
+    // Guards against an upstream that forgot a process, as after a restart, and never gets its report again.
+    forgotten_report_is_asked_for => {
+        let deployment = Deployment::new(timings()).await;
+        let entry = deployment.silent_entry("entry").await;
+        let agent = start("agent", Role::Agent, vec![entry.address], timings(), &deployment.cuts).await;
+        agent.client.poll(entry.address).await.unwrap();
+        assert!(entry.membership.get("agent").is_some());
+        // Steps shorter than half of the limit count as silence and not as a pause of this process.
+        let mut later = Instant::now();
+        while entry.membership.get("agent").is_some() {
+            later += LIMIT / 4;
+            entry.membership.tick(later);
+        }
+        agent.client.poll(entry.address).await.unwrap();
+        assert!(entry.membership.get("agent").is_none());
+        deployment.cut(&entry);
+        assert!(agent.client.poll(entry.address).await.is_err());
+        deployment.heal();
+        agent.client.poll(entry.address).await.unwrap();
+        assert!(entry.membership.get("agent").is_some());
+    }
+
     // Guards against owner rows that reach entry hosts only, and rows that outlive their deletion.
     owner_rows_reach_agents => {
         let deployment = Deployment::new(timings()).await;
