Do not send a write whose caller was told that it did not run

Cause: a batch waits for its admission up to its latest deadline. A part with an earlier deadline was sent with it although its caller had been told store_unavailable.

Change: parts are checked again right before they are sent, and a caller that gives up marks its part. The test of hanging writes scripts 100 hanging transactions in place of 4: repeats within the deadline could use 4 up, after which a write was answered.

--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -26,13 +26,7 @@
     let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
     loop {
         let next_attempt = inner.next_attempt(duty);
-        parts.retain(|part| {
-            let in_time = part.deadline > next_attempt;
-            if !in_time {
-                part.give_up();
-            }
-            in_time
-        });
+        drop_unwanted(&mut parts, next_attempt);
         let Some(until) = parts.iter().map(|part| part.deadline).max() else {
             return;
         };
@@ -52,6 +46,17 @@
     }
 }
 
+/// Ends the parts that may not be sent at `now`.
+fn drop_unwanted(parts: &mut Vec<Part>, now: Instant) {
+    parts.retain(|part| {
+        let is_wanted = part.is_wanted(now);
+        if !is_wanted {
+            part.give_up();
+        }
+        is_wanted
+    });
+}
+
 /// Ends a batch whose content was refused: one bad part must not fail the others.
 async fn refuse(inner: &Inner, duty: Duty, parts: Vec<Part>, error: Error) {
     if parts.len() > 1 {
@@ -101,6 +106,11 @@
         }
     }
     inner.admit_write(duty, until).await?;
+    // The admission waits for the part with the latest deadline; others may have passed theirs.
+    drop_unwanted(parts, Instant::now());
+    if parts.is_empty() {
+        return Ok(());
+    }
     for part in parts.iter() {
         part.sent();
     }
--- a/crates/store/src/part.rs
+++ b/crates/store/src/part.rs
@@ -34,6 +34,7 @@
 pub(crate) struct Ticket {
     effect: Cell<Effect>,
     in_flight: Cell<bool>,
+    abandoned: Cell<bool>,
     result: RefCell<Option<Result<TransactionOutcome>>>,
     waker: RefCell<Option<Waker>>,
 }
@@ -51,8 +52,9 @@
         .await
     }
 
-    /// Returns the error for a caller whose deadline has passed.
+    /// Returns the error for a caller whose deadline has passed; the part is not sent from now on.
     pub(crate) fn deadline_error(&self) -> Error {
+        self.abandoned.set(true);
         if self.in_flight.get() || self.effect.get() == Effect::Possible {
             let detail = "the deadline passed before the outcome of a write was known";
             return Error::new(ErrorKind::StoreUnknown, detail);
@@ -79,6 +81,7 @@
         let ticket = Rc::new(Ticket {
             effect: Cell::new(Effect::None),
             in_flight: Cell::new(false),
+            abandoned: Cell::new(false),
             result: RefCell::new(None),
             waker: RefCell::new(None),
         });
@@ -106,6 +109,12 @@
         self.finish(Err(self.ticket.deadline_error()));
     }
 
+    /// Returns whether the part may be sent at `now`. Once its caller was told that nothing was written,
+    /// it must not be.
+    pub(crate) fn is_wanted(&self, now: Instant) -> bool {
+        !self.ticket.abandoned.get() && self.deadline > now
+    }
+
     /// Notes that an attempt is being sent.
     pub(crate) fn sent(&self) {
         self.ticket.in_flight.set(true);
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -128,7 +128,7 @@
 
     // Guards against "not run" at the deadline of a write whose answer did not come.
     hanging_write_is_unknown_at_the_deadline => {
-        let store = FaultyStore::with_faults([Fault::Hang, Fault::Hang, Fault::Hang, Fault::Hang]);
+        let store = FaultyStore::with_faults((0..100).map(|_| Fault::Hang));
         for duty in [Duty::Ownership, Duty::Acceptance] {
             let error = store.client().transact(duty, &claim(CLAIM), SHORT).await.unwrap_err();
             assert_eq!(error.kind, ErrorKind::StoreUnknown);
@@ -149,6 +149,24 @@
         assert_eq!(store.value(CLAIM), None);
     }
 
+    // Guards against a write that is sent, with its batch, after its caller was told "not run".
+    write_past_its_deadline_is_not_sent_with_its_batch => {
+        let store = FaultyStore::with_faults([]);
+        let budgets = Budgets { writes_per_second: [1, 1, 1, 1], ..Budgets::default() };
+        let client = StoreClient::with_budgets(Rc::clone(&store) as _, Rc::clone(&store) as _, budgets);
+        // Uses up the budget, so that the batch waits about a second for its admission.
+        client.transact(Duty::Audit, &claim("audit/1"), LIMIT).await.unwrap();
+        let (hasty, patient) = (claim("audit/2"), claim("audit/3"));
+        let (hasty, patient) = futures_util::future::join(
+            client.transact(Duty::Audit, &hasty, SHORT),
+            client.transact(Duty::Audit, &patient, LIMIT),
+        )
+        .await;
+        assert_eq!(hasty.unwrap_err().kind, ErrorKind::StoreUnavailable);
+        assert!(is_committed(&patient.unwrap()));
+        assert_eq!(store.value("audit/2"), None);
+    }
+
     // Guards against an outage that is met with a request for every caller, and against no return.
     breaker_limits_attempts_in_an_outage => {
         let store = FaultyStore::with_faults([]);
