State which task carries the list of a gang's agents

Change: the comment. A list at each task would grow with the square of the gang. Conclusion: code that needs the size of a gang takes it from the job, not from this list.

--- a/crates/gang/src/worker.rs
+++ b/crates/gang/src/worker.rs
@@ -34,7 +34,8 @@
     pub customer: CustomerId,
     /// Whether the task runs beyond its customer's guarantee and can be reclaimed.
     pub borrowed: bool,
-    /// Addresses of the agents of all members; the first is the lead.
+    /// At member 0 the addresses of the agents of all members, indexed by member; at the others the
+    /// lead's address only. The first is the lead in both cases.
     pub agents: Vec<std::net::SocketAddr>,
     /// Processor cores set aside for the task.
     pub cores: u32,
