Free the capacity of answering workers before a silent one is settled

Cause: a stop returned only when every agent had answered or been silent for the quiet time of 15 s, so one silent worker kept a reclaimed shape beyond its bound of 8.8 s. Change: GangDriver::release stops the members that answer and names the silent workers after one exchange; GangDriver::settle waits for the rest. checkpoint_and_stop is both in turn. Conclusion: the owner can give the freed capacity away while the victim still waits to be settled.

--- a/crates/gang/src/driver.rs
+++ b/crates/gang/src/driver.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -47,6 +48,7 @@
 pub use handle::GangHandle;
 pub use handle::GangMember;
 pub use handle::GangSpec;
+pub use handle::Releasing;
 pub use handle::Reserved;
 pub use handle::Running;
 pub use handle::StartFailure;
@@ -251,6 +253,19 @@
         gang: GangHandle<Running>,
         within: Duration,
     ) -> GangHandle<Stopped> {
+        let releasing = self.release(gang, within).await;
+        self.settle(releasing).await
+    }
+
+    /// Asks all members for a checkpoint and stops those whose agents answer.
+    ///
+    /// A silent agent delays this by one exchange only, so that the capacity of the others is free
+    /// long before the lease of the silent member has lapsed for certain.
+    pub async fn release(
+        &self,
+        gang: GangHandle<Running>,
+        within: Duration,
+    ) -> GangHandle<Releasing> {
         let plan = &gang.plan;
         let message = Checkpoint {
             job: plan.spec.job.clone(),
@@ -270,14 +285,54 @@
             .flatten()
             .flatten()
             .collect();
-        let (mut members, is_settled) = self.stop_all(plan).await;
-        for member in &mut members {
+        let exchange = self.timings.exchange;
+        let message = stop_message(plan);
+        let closed = Cell::new(None);
+        let stops = plan.by_agent.keys().map(|agent| async {
+            let deadline = Instant::now() + exchange;
+            let answer = send_until(
+                &self.client,
+                *agent,
+                &message,
+                exchange,
+                deadline,
+                || Ok(()),
+            )
+            .await;
+            if answer.is_ok() && closed.get().is_none() {
+                closed.set(Some(Instant::now()));
+            }
+            (*agent, answer)
+        });
+        let mut answers: BTreeMap<_, _> = join_all(stops).await.into_iter().collect();
+        for member in answers.values_mut().flatten().flatten() {
             let written = checkpoints
                 .iter()
                 .find(|other| other.member == member.member);
             let written_ms = written.map_or(0, |other| other.checkpoint_ms);
             member.checkpoint_ms = member.checkpoint_ms.max(written_ms);
         }
+        gang.into_state(Releasing {
+            answers,
+            closed: closed.get(),
+        })
+    }
+
+    /// Goes on asking silent agents to stop their members until each has answered or can run nothing.
+    pub async fn settle(&self, gang: GangHandle<Releasing>) -> GangHandle<Stopped> {
+        let Releasing { answers, closed } = &gang.state;
+        let silent = answers.iter().filter(|(_, answer)| answer.is_err());
+        let silent: Vec<SocketAddr> = silent.map(|(agent, _)| *agent).collect();
+        let late = if silent.is_empty() {
+            Vec::new()
+        } else {
+            let message = stop_message(&gang.plan);
+            self.close(silent.into_iter(), *closed, &message).await
+        };
+        let known = answers.values().filter(|answer| answer.is_ok()).cloned();
+        let all: Vec<Result<Vec<MemberReport>>> = known.chain(late).collect();
+        let is_settled = is_settled(&all, true);
+        let members = sorted_members(all);
         gang.into_state(Stopped {
             members,
             is_settled,
@@ -388,7 +443,8 @@
             epoch: plan.epoch,
         };
         let answers = if may_have_started {
-            self.close(plan, &message).await
+            self.close(plan.by_agent.keys().copied(), None, &message)
+                .await
         } else {
             // Without a start nothing can run, and what a silent agent holds lapses by itself.
             let deadline = Instant::now() + self.timings.exchange;
@@ -409,31 +465,32 @@
     }
 
     async fn stop_all(&self, plan: &Plan) -> (Vec<MemberReport>, bool) {
-        let message = Stop {
-            job: plan.spec.job.clone(),
-            attempt: plan.spec.attempt,
-            epoch: plan.epoch,
-        };
-        let answers = self.close(plan, &message).await;
+        let agents = plan.by_agent.keys().copied();
+        let answers = self.close(agents, None, &stop_message(plan)).await;
         let is_settled = is_settled(&answers, true);
-        let mut members: Vec<MemberReport> = answers.into_iter().flatten().flatten().collect();
-        members.sort_by_key(|member| member.member);
-        (members, is_settled)
+        (sorted_members(answers), is_settled)
     }
 
-    /// Sends `message` to all agents until each has answered or has been silent for the quiet time.
+    /// Sends `message` to `agents` until each has answered or has been silent for the quiet time.
     ///
-    /// The quiet time counts from the first answer: until an agent has closed the attempt, its lead
-    /// may renew a gang whose agents the owner cannot reach.
-    async fn close<M: Message>(&self, plan: &Plan, message: &M) -> Vec<Result<M::Answer>> {
+    /// The quiet time counts from the first answer, which may have come to an earlier message at
+    /// `closed`: until an agent has closed the attempt, its lead may renew a gang whose agents the
+    /// owner cannot reach.
+    async fn close<M: Message>(
+        &self,
+        agents: impl Iterator<Item = SocketAddr>,
+        closed: Option<Instant>,
+        message: &M,
+    ) -> Vec<Result<M::Answer>> {
         let quiet = self.timings.quiet();
         let exchange = self.timings.exchange;
-        let deadline = Cell::new(Instant::now() + quiet);
-        let is_first = Cell::new(true);
-        let sends = plan.by_agent.keys().map(|agent| async {
+        let deadline = Cell::new(closed.unwrap_or_else(Instant::now) + quiet);
+        let is_first = Cell::new(closed.is_none());
+        let (deadline, is_first) = (&deadline, &is_first);
+        let sends = agents.map(|agent| async move {
             let mut backoff = Backoff::new(exchange / 32, exchange);
             loop {
-                let answer = self.client.send(*agent, message, exchange).await;
+                let answer = self.client.send(agent, message, exchange).await;
                 match &answer {
                     Ok(_) => {
                         if is_first.replace(false) {
@@ -451,6 +508,20 @@
     }
 }
 
+fn stop_message(plan: &Plan) -> Stop {
+    Stop {
+        job: plan.spec.job.clone(),
+        attempt: plan.spec.attempt,
+        epoch: plan.epoch,
+    }
+}
+
+fn sorted_members(answers: Vec<Result<Vec<MemberReport>>>) -> Vec<MemberReport> {
+    let mut members: Vec<MemberReport> = answers.into_iter().flatten().flatten().collect();
+    members.sort_by_key(|member| member.member);
+    members
+}
+
 /// Returns whether an agent will never obey this owner.
 fn is_refusal(kind: ErrorKind) -> bool {
     matches!(kind, ErrorKind::StaleEpoch | ErrorKind::Unauthenticated)
--- a/crates/gang/src/driver/handle.rs
+++ b/crates/gang/src/driver/handle.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use crate::Attempt;
 use crate::MemberReport;
@@ -66,6 +67,13 @@
 /// All members run.
 #[derive(Debug)]
 pub struct Running;
+/// Every member whose agent answered has stopped; silent ones may still run until their leases lapse.
+#[derive(Debug)]
+pub struct Releasing {
+    pub(super) answers: BTreeMap<SocketAddr, Result<Vec<MemberReport>>>,
+    /// When the first agent confirmed that it has closed the attempt.
+    pub(super) closed: Option<Instant>,
+}
 /// The gang was told to stop.
 #[derive(Debug)]
 pub struct Stopped {
@@ -106,6 +114,22 @@
     }
 }
 
+impl GangHandle<Releasing> {
+    /// Returns the workers whose agents did not answer; nothing may be placed on them, and the job may
+    /// not be started again, before the gang is settled.
+    #[must_use]
+    pub fn silent_workers(&self) -> Vec<WorkerId> {
+        let silent = self
+            .state
+            .answers
+            .iter()
+            .filter(|(_, answer)| answer.is_err());
+        silent
+            .filter_map(|(agent, _)| self.plan.worker(*agent))
+            .collect()
+    }
+}
+
 impl GangHandle<Stopped> {
     /// Returns the work that every member's last checkpoint contains, in milliseconds; `None` unless
     /// all members were reported.
--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -18,6 +18,7 @@
 pub use driver::GangHandle;
 pub use driver::GangMember;
 pub use driver::GangSpec;
+pub use driver::Releasing;
 pub use driver::Reserved;
 pub use driver::Running;
 pub use driver::StartFailure;
--- a/crates/gang/tests/failures.rs
+++ b/crates/gang/tests/failures.rs
@@ -283,6 +283,29 @@
         world.check();
     }
 
+    // Guards against capacity of reachable workers that waits for a silent one: a reclaim has 8.8 s,
+    // and a silent member is certain to have ended only after its lease and the steps around it.
+    silent_member_does_not_delay_the_release_of_others => {
+        let world = World::new(3).await;
+        let gang = world.driver.start(world.spec(1, 1, 6)).await.unwrap();
+        world.faults.add(Rule {
+            from: None,
+            to: Some(world.nodes[2].address),
+            path: "/",
+            fault: Fault::Cut,
+            count: u32::MAX,
+        });
+        let releasing = world.driver.release(gang, Duration::from_millis(200)).await;
+        assert_eq!(releasing.silent_workers(), ["worker-2".into()]);
+        let stopped_workers: Vec<bool> =
+            world.nodes.iter().map(|node| node.agent.report().attempts.iter().all(|part| part.end.is_some())).collect();
+        assert_eq!(stopped_workers[..2], [true, true]);
+        let stopped = world.driver.settle(releasing).await;
+        assert!(stopped.is_settled());
+        assert_eq!(world.running(), 0);
+        world.check();
+    }
+
     // Guards against a restart of the job while a member that the owner cannot reach still runs.
     unreachable_member_delays_the_next_attempt => {
         let world = World::new(3).await;
