Check guarantees at publish by the planner's own embedding

Cause: publish used a heuristic of its own, so it could accept a set of guarantees that the data-centre owner cannot hold, or refuse one that it can. Change: config::can_hold calls fleet::embed; the conversions to the planner's types stand in one place. Conclusion: one search decides at publish and in the owner.

--- a/crates/config/src/packing.rs
+++ b/crates/config/src/packing.rs
@@ -1,11 +1,15 @@
 //! Check that one data centre can hold a set of guarantees at once.
 
-use std::cmp::Reverse;
+use std::time::Duration;
 
 use crate::Adjacency;
 use crate::DataCentre;
 use crate::Guarantee;
 use crate::WorkerShape;
+use nutmegwalk_fleet::GuaranteeSpec;
+use nutmegwalk_fleet::Shape;
+use nutmegwalk_fleet::WorkerSpec;
+use nutmegwalk_fleet::embed;
 
 /// One guarantee that a data centre has to hold.
 #[derive(Clone, Copy, Debug)]
@@ -27,106 +31,75 @@
     pub placed: Vec<Box<str>>,
 }
 
-type Order = fn(&WorkerShape) -> u64;
-
-/// Resources by which demands are ordered in turn. One order can fail where another succeeds, because
-/// the embedding is a heuristic.
-const ORDERS: [Order; 3] = [
-    |shape| u64::from(shape.accelerators),
-    |shape| u64::from(shape.cores),
-    |shape| shape.memory_mb,
-];
-
-/// Checks that `data_centre` has room for all `demands` at once.
-///
-/// The embedding is best-fit decreasing: the largest demand comes first, and each takes the fullest
-/// workers with room, a rack-adjacent one the fullest rack with room for all its members. It may refuse
-/// a set that an exhaustive search could place.
+/// Checks that `data_centre` has room for all `demands` at once, by the search that the data-centre
+/// owner uses for its reservations, so that an accepted configuration can be held by the owner.
 ///
 /// # Errors
-/// The clash that the first order met, when every order fails.
+/// The first demand that does not fit beside those before it.
 pub fn can_hold(data_centre: &DataCentre, demands: &[Demand<'_>]) -> Result<(), Clash> {
-    let mut first_clash = None;
-    for order in ORDERS {
-        match embed(data_centre, demands, order) {
-            Ok(()) => return Ok(()),
-            Err(clash) => first_clash = first_clash.or(Some(clash)),
-        }
-    }
-    first_clash.map_or(Ok(()), Err)
-}
-
-fn embed(data_centre: &DataCentre, demands: &[Demand<'_>], order: Order) -> Result<(), Clash> {
-    let mut racks: Vec<Vec<WorkerShape>> = data_centre
-        .racks
-        .values()
-        .map(|rack| vec![rack.shape; rack.workers as usize])
+    let workers = data_centre.worker_specs();
+    let specs: Vec<GuaranteeSpec> = demands
+        .iter()
+        .map(|demand| demand.guarantee.to_spec(demand.customer, demand.name))
         .collect();
-    let mut sorted: Vec<&Demand<'_>> = demands.iter().collect();
-    // Rack-adjacent demands have the fewest possible places, so they come first.
-    sorted.sort_by_key(|demand| {
-        let guarantee = demand.guarantee;
-        let size = order(&guarantee.shape);
-        let total = size.saturating_mul(u64::from(guarantee.workers));
-        (
-            guarantee.adjacency != Adjacency::Rack,
-            Reverse(size),
-            Reverse(total),
-        )
-    });
-    let mut placed = Vec::new();
-    for demand in sorted {
-        let name = format!("{}/{}", demand.customer, demand.name);
-        if !place(&mut racks, demand.guarantee) {
-            let unplaced = name.into();
-            return Err(Clash { unplaced, placed });
-        }
-        placed.push(name.into());
+    if embed(&workers, &specs).is_ok() {
+        return Ok(());
     }
-    Ok(())
+    let fitting = (1..specs.len())
+        .take_while(|count| embed(&workers, &specs[..*count]).is_ok())
+        .count();
+    let name = |demand: &Demand<'_>| format!("{}/{}", demand.customer, demand.name).into();
+    Err(Clash {
+        unplaced: name(&demands[fitting]),
+        placed: demands[..fitting].iter().map(name).collect(),
+    })
 }
 
-fn place(racks: &mut [Vec<WorkerShape>], guarantee: &Guarantee) -> bool {
-    let members = guarantee.workers as usize;
-    let shape = &guarantee.shape;
-    match guarantee.adjacency {
-        Adjacency::Rack => {
-            let fitting = racks
-                .iter_mut()
-                .filter(|rack| rack.iter().filter(|free| fits(free, shape)).count() >= members);
-            let Some(rack) = fitting.min_by_key(|rack| free_accelerators(rack)) else {
-                return false;
-            };
-            take(rack.iter_mut().collect(), members, shape)
-        }
-        Adjacency::DataCentre => take(racks.iter_mut().flatten().collect(), members, shape),
+impl DataCentre {
+    /// Returns the workers of all racks in the planner's form, with made-up names.
+    #[must_use]
+    pub fn worker_specs(&self) -> Vec<WorkerSpec> {
+        let racks = self.racks.iter().flat_map(|(name, rack)| {
+            (0..rack.workers).map(move |number| WorkerSpec {
+                id: format!("{name}-{number}").into(),
+                rack: name.clone(),
+                shape: rack.shape.to_shape(),
+            })
+        });
+        racks.collect()
     }
 }
 
-/// Takes one member from each of the `members` fullest workers with room; takes nothing if there are fewer.
-fn take(workers: Vec<&mut WorkerShape>, members: usize, shape: &WorkerShape) -> bool {
-    let mut fitting: Vec<&mut WorkerShape> = workers
-        .into_iter()
-        .filter(|free| fits(free, shape))
-        .collect();
-    if fitting.len() < members {
-        return false;
+impl WorkerShape {
+    /// Returns the planner's form of the size.
+    #[must_use]
+    pub fn to_shape(self) -> Shape {
+        Shape::new(self.cores, self.memory_mb, self.accelerators)
     }
-    fitting.sort_by_key(|free| (free.accelerators, free.cores, free.memory_mb));
-    for free in fitting.into_iter().take(members) {
-        free.accelerators -= shape.accelerators;
-        free.cores -= shape.cores;
-        free.memory_mb -= shape.memory_mb;
-    }
-    true
 }
 
-fn fits(free: &WorkerShape, shape: &WorkerShape) -> bool {
-    free.accelerators >= shape.accelerators
-        && free.cores >= shape.cores
-        && free.memory_mb >= shape.memory_mb
+impl Adjacency {
+    /// Returns the planner's form of the adjacency.
+    #[must_use]
+    pub fn to_planner(self) -> nutmegwalk_fleet::Adjacency {
+        match self {
+            Self::Rack => nutmegwalk_fleet::Adjacency::Rack,
+            Self::DataCentre => nutmegwalk_fleet::Adjacency::DataCentre,
+        }
+    }
 }
 
-fn free_accelerators(rack: &[WorkerShape]) -> u64 {
-    rack.iter().map(|free| u64::from(free.accelerators)).sum()
+impl Guarantee {
+    /// Returns the planner's form of the guarantee.
+    #[must_use]
+    pub fn to_spec(&self, customer: &str, name: &str) -> GuaranteeSpec {
+        GuaranteeSpec {
+            customer: customer.into(),
+            name: name.into(),
+            workers: self.workers,
+            shape: self.shape.to_shape(),
+            adjacency: self.adjacency.to_planner(),
+            reclaim_within: Duration::from_millis(self.reclaim_within_ms),
+        }
+    }
 }
