--- /dev/null
+++ b/crates/base/tests/interfaces.rs
@@ -0,0 +1,36 @@
+//! Holds the table of error kinds in the documentation against the code.
+
+use nutmegwalk_base::ErrorKind;
+
+/// Guards against a documented status, exit code or outcome that the code does not give.
+#[rstest::rstest]
+fn documented_error_table_matches_the_code() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/interfaces.md");
+    let document = std::fs::read_to_string(path).unwrap();
+    let (_, table) = document.split_once("## Error kinds").unwrap();
+    let documented: Vec<String> = table
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(|line| {
+            line.split('|')
+                .skip(1)
+                .take(4)
+                .map(str::trim)
+                .collect::<Vec<_>>()
+                .join(" ")
+        })
+        .collect();
+    let coded: Vec<String> = ErrorKind::ALL
+        .iter()
+        .map(|kind| {
+            format!(
+                "`{}` {} {} {}",
+                kind.name(),
+                kind.http_status(),
+                kind.exit_code(),
+                kind.outcome().name()
+            )
+        })
+        .collect();
+    assert_eq!(documented, coded);
+}
