Bound reclaims in one schedule call, so that its cost grows linearly

Cause: the number of starts in a call was bounded, but each waiting guaranteed job could still move its reservation and choose victims in the same call, which looks at all workers; the cost grew with the square of the data centre's size. Change: reclaims count towards the bound of 64; a shape that does not fit what is left of a guarantee is not tried again in the same call.

--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -88,17 +88,32 @@
 
     /// Starts, or reclaims room for, jobs that fit in what is left of their guarantee.
     fn start_guaranteed(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let mut failed: BTreeSet<(usize, u32, Shape)> = BTreeSet::new();
+        let mut decided = starts(actions);
         for (_, seq) in self.queue.guaranteed.clone() {
-            if starts(actions) >= MAX_STARTS {
+            // Reclaims count like starts, because each looks at all workers.
+            if decided >= MAX_STARTS {
                 return;
             }
-            if self.jobs[&seq].not_before > now {
+            let job = &self.jobs[&seq];
+            let (tasks, shape) = (job.spec.tasks, job.spec.shape);
+            if job.not_before > now {
                 continue;
             }
-            if let Some(reservation) = self.reservation_of(seq)
-                && let Some(assignment) = self.best_assignment(seq, reservation)
-            {
-                self.start_in_reservation(seq, assignment, now, actions);
+            let Some(reservation) = self.reservation_of(seq) else {
+                continue;
+            };
+            if failed.contains(&(reservation, tasks, shape)) {
+                continue;
+            }
+            match self.best_assignment(seq, reservation) {
+                Some(assignment) => {
+                    decided += 1;
+                    self.start_in_reservation(seq, assignment, now, actions);
+                }
+                None => {
+                    failed.insert((reservation, tasks, shape));
+                }
             }
         }
     }
