Move only jobs that run

Cause: a job could be started from its claim and moved away for a waiting gang in the same call. Change: consolidation looks at running jobs only.

--- a/crates/fleet/src/consolidate.rs
+++ b/crates/fleet/src/consolidate.rs
@@ -5,6 +5,7 @@
 
 use crate::Adjacency;
 use crate::Fleet;
+use crate::JobPhase;
 use crate::Shape;
 use crate::StopReason;
 use crate::fleet::CHECKPOINT_BOUND;
@@ -106,14 +107,20 @@
 
     fn borrowers_on(&self, index: usize) -> Vec<u64> {
         let tasks = self.workers.list[index].tasks.keys().copied();
-        tasks.filter(|seq| self.jobs[seq].is_borrower()).collect()
+        tasks.filter(|seq| self.is_movable(*seq)).collect()
+    }
+
+    /// Returns whether a job may move; one that is still starting may have been told so in this call.
+    fn is_movable(&self, seq: u64) -> bool {
+        let job = &self.jobs[&seq];
+        job.is_borrower() && job.phase == JobPhase::Running
     }
 
     fn movable_load(&self, index: usize) -> Shape {
         let mut load = Shape::default();
         for (seq, tasks) in &self.workers.list[index].tasks {
             let job = &self.jobs[seq];
-            if job.is_borrower() {
+            if self.is_movable(*seq) {
                 load = load.plus(job.spec.shape.times(*tasks));
             }
         }
