--- a/crates/calls/src/router/attempt.rs
+++ b/crates/calls/src/router/attempt.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Router;
+use super::health::Evidence;
+use super::servers::Chosen;
+use super::servers::Distance;
 use crate::AttemptId;
 use crate::BackendAnswer;
 use crate::CallMessage;
@@ -12,10 +16,6 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
-use super::Router;
-use super::health::Evidence;
-use super::servers::Chosen;
-use super::servers::Distance;
 
 /// Largest part of the deadline that is kept for the way back of the answer.
 const LONGEST_RETURN: Duration = Duration::from_millis(50);
@@ -68,6 +68,11 @@
             Ok(reply) => self.check_reply(chosen, &message, reply),
             Err(error) => Err(error),
         };
+        if let Err(error) = &result
+            && matches!(error.kind, ErrorKind::NoBackendServer | ErrorKind::Draining)
+        {
+            server.avoid_until_update();
+        }
         self.0
             .servers
             .record(chosen, evidence(&result, sent.elapsed()));
--- a/crates/calls/src/router/choice.rs
+++ b/crates/calls/src/router/choice.rs
@@ -7,13 +7,13 @@
 
 use rand::Rng;
 
-use nutmegwalk_base::Error;
-use nutmegwalk_base::ErrorKind;
-use nutmegwalk_base::Result;
 use super::health::Permission;
 use super::servers::Chosen;
 use super::servers::Distance;
 use super::servers::Server;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
 
 /// How servers are chosen and retries are limited.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -58,20 +58,18 @@
             .iter()
             .filter(|server| !server.is_leaving())
             .collect();
-        let mut candidates: Vec<&Rc<Server>> = present
+        let untried: Vec<&Rc<Server>> = present
             .iter()
             .copied()
             .filter(|server| is_new(server))
             .collect();
-        if candidates.is_empty() {
-            candidates = present;
-        }
-        let chosen = match self.policy {
-            RoutingPolicy::RoundRobin => self.round_robin(&candidates),
+        let pick = |candidates: &[&Rc<Server>]| match self.policy {
+            RoutingPolicy::RoundRobin => self.round_robin(candidates),
             RoutingPolicy::TwoChoices | RoutingPolicy::NoBudget => {
-                nearest_first(&candidates, time_left)
+                nearest_first(candidates, time_left)
             }
         };
+        let chosen = pick(&untried).or_else(|| pick(&present));
         chosen.ok_or_else(|| {
             Error::new(
                 ErrorKind::NoBackendServer,
--- a/crates/calls/src/router/once.rs
+++ b/crates/calls/src/router/once.rs
@@ -4,6 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Retries;
+use super::Router;
+use super::attempt::AttemptTerms;
+use super::servers::Chosen;
 use crate::BackendAnswer;
 use crate::CallRequest;
 use crate::Claims;
@@ -18,10 +22,6 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
-use super::Retries;
-use super::Router;
-use super::attempt::AttemptTerms;
-use super::servers::Chosen;
 
 /// Time after the deadline in which the last step may still end by its own limit.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
@@ -191,11 +191,18 @@
                 Some(CloseAnswer::Unknown) | None => return Err(error),
             }
         }
-        if self
-            .may_retry(retries, &chosen, &error, once.deadline)
-            .await
-            && let Ok(next) = self.choose(once.request, &retries.tried, once.deadline)
-        {
+        // A closed attempt is no failure of the server: a duplicate at another entry host is about to
+        // take the claim over, and one of the two has to go on.
+        let goes_on = match error.kind {
+            ErrorKind::AttemptClosed => {
+                retries.note(&chosen, &error) && retries.made < self.0.settings.max_attempts
+            }
+            _ => {
+                self.may_retry(retries, &chosen, &error, once.deadline)
+                    .await
+            }
+        };
+        if goes_on && let Ok(next) = self.choose(once.request, &retries.tried, once.deadline) {
             let claimed = once
                 .claims
                 .take_over(held.into_stored(), self.claimant(&next), once.deadline)
--- a/crates/calls/src/router/servers.rs
+++ b/crates/calls/src/router/servers.rs
@@ -11,13 +11,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::health::Evidence;
+use super::health::Health;
 use crate::Load;
 use nutmegwalk_base::DataCentreId;
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::RegionId;
 use nutmegwalk_base::ServiceId;
-use super::health::Evidence;
-use super::health::Health;
 
 /// A load from an answer is preferred to one from a report for this long, since reports are up to
 /// two seconds old when they arrive.
@@ -131,6 +131,12 @@
         self.leaving.get()
     }
 
+    /// Treats the server as leaving until the next update. Its agent has just refused a call for good,
+    /// and the report that says so is up to two seconds away.
+    pub(super) fn avoid_until_update(&self) {
+        self.leaving.set(true);
+    }
+
     /// Sets the load that an answer carried.
     pub(super) fn set_load(&self, load: Load) {
         self.load.set(load);
--- a/crates/calls/src/slots/attempts.rs
+++ b/crates/calls/src/slots/attempts.rs
@@ -25,6 +25,13 @@
 /// How far the clock of an entry host may be ahead.
 const MAX_AHEAD_MS: u64 = 60_000;
 
+/// Age up to which an attempt that has not arrived is given time to arrive before it is closed.
+/// Without it, duplicates of one request close each other's attempts again and again.
+const YOUNG_MS: u64 = 1_000;
+/// Time that such an attempt is given, and how often its arrival is checked.
+const ARRIVAL_TIME: Duration = Duration::from_millis(100);
+const ARRIVAL_CHECK: Duration = Duration::from_millis(5);
+
 #[derive(Debug)]
 enum Record {
     /// Waits for a slot; nothing was sent.
@@ -115,6 +122,7 @@
 
     /// Closes an attempt; waits up to `wait` for one that is running.
     pub(super) async fn close(&self, id: &str, wait: Duration) -> CloseAnswer {
+        self.wait_for_arrival(id, wait).await;
         let running = {
             let mut state = self.state.borrow_mut();
             state.expire();
@@ -145,6 +153,20 @@
         }
     }
 
+    async fn wait_for_arrival(&self, id: &str, wait: Duration) {
+        let is_young = created_unix_ms(id)
+            .is_some_and(|created| created.saturating_add(YOUNG_MS) >= unix_ms());
+        if !is_young {
+            return;
+        }
+        let start = Instant::now();
+        while !self.state.borrow().records.contains_key(id)
+            && start.elapsed() < ARRIVAL_TIME.min(wait / 2)
+        {
+            compio::time::sleep(ARRIVAL_CHECK).await;
+        }
+    }
+
     fn end(&self, id: &str, record: Record) {
         let mut state = self.state.borrow_mut();
         let watchers = state.end(id, record);
--- a/crates/calls/src/slots/pool.rs
+++ b/crates/calls/src/slots/pool.rs
@@ -22,14 +22,14 @@
 use hyper::client::conn::http1;
 use log::debug;
 
+use super::stream::CountingStream;
+use super::stream::WriteControl;
 use crate::BackendAnswer;
 use crate::request::forwarded_headers;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_net::REQUEST_ID_HEADER;
-use super::stream::CountingStream;
-use super::stream::WriteControl;
 
 /// An exchange that did not end with a complete answer.
 #[derive(Debug)]
--- a/crates/calls/tests/common/mod.rs
+++ b/crates/calls/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Agents, entry hosts and a faulty store for the tests and the measurement program.
 // Each test file uses a part of this module.
-#![allow(dead_code, missing_docs, unreachable_pub)]
+#![allow(dead_code, missing_docs, unreachable_pub, unused_imports)]
 
 pub mod backend;
 pub mod store;
