--- a/crates/calls/src/router/attempt.rs
+++ b/crates/calls/src/router/attempt.rs
@@ -68,6 +68,11 @@
             Ok(reply) => self.check_reply(chosen, &message, reply),
             Err(error) => Err(error),
         };
+        if let Err(error) = &result
+            && matches!(error.kind, ErrorKind::NoBackendServer | ErrorKind::Draining)
+        {
+            server.avoid_until_update();
+        }
         self.0
             .servers
             .record(chosen, evidence(&result, sent.elapsed()));
--- a/crates/calls/src/router/once.rs
+++ b/crates/calls/src/router/once.rs
@@ -36,6 +36,8 @@
     deadline: Instant,
     attempts: &'a Cell<u32>,
     within_rate: bool,
+    /// Whether the first claim is being written, so that nothing can have been sent.
+    is_opening: Cell<bool>,
 }
 
 /// What follows from a step.
@@ -68,6 +70,7 @@
             deadline,
             attempts,
             within_rate: false,
+            is_opening: Cell::new(false),
         };
         let time_left = deadline.saturating_duration_since(Instant::now());
         let admitted = match self.admit(request, deadline).await {
@@ -86,6 +89,10 @@
         // The store and the agent have limits of their own; this one covers all steps together.
         match compio::time::timeout(time_left + DEADLINE_MARGIN, settled).await {
             Ok(result) => result,
+            Err(_) if once.is_opening.get() => Err(Error::new(
+                ErrorKind::StoreUnavailable,
+                "the deadline passed while the claim was written",
+            )),
             Err(_) => Err(unknown("the deadline passed while the claim was settled")),
         }
     }
@@ -136,6 +143,7 @@
     }
 
     async fn open(&self, once: &Once<'_>, chosen: Chosen) -> Result<Step> {
+        once.is_opening.set(true);
         let claimed = once
             .claims
             .open(
@@ -145,6 +153,7 @@
                 once.deadline,
             )
             .await?;
+        once.is_opening.set(false);
         Ok(step(claimed, chosen))
     }
 
@@ -191,11 +200,18 @@
                 Some(CloseAnswer::Unknown) | None => return Err(error),
             }
         }
-        if self
-            .may_retry(retries, &chosen, &error, once.deadline)
-            .await
-            && let Ok(next) = self.choose(once.request, &retries.tried, once.deadline)
-        {
+        // A closed attempt is no failure of the server: a duplicate at another entry host is about to
+        // take the claim over, and one of the two has to go on.
+        let goes_on = match error.kind {
+            ErrorKind::AttemptClosed => {
+                retries.note(&chosen, &error) && retries.made < self.0.settings.max_attempts
+            }
+            _ => {
+                self.may_retry(retries, &chosen, &error, once.deadline)
+                    .await
+            }
+        };
+        if goes_on && let Ok(next) = self.choose(once.request, &retries.tried, once.deadline) {
             let claimed = once
                 .claims
                 .take_over(held.into_stored(), self.claimant(&next), once.deadline)
@@ -203,6 +219,10 @@
                 .map_err(|error| unknown(&error.detail))?;
             return Ok(Sent::Next(step(claimed, next)));
         }
+        if error.kind == ErrorKind::AttemptClosed {
+            // The duplicate may be running the request by now.
+            return Ok(Sent::Next(Step::Resolve(held.into_stored())));
+        }
         self.release(once, held.into_stored(), error).await
     }
 
--- a/crates/calls/src/router/servers.rs
+++ b/crates/calls/src/router/servers.rs
@@ -131,6 +131,12 @@
         self.leaving.get()
     }
 
+    /// Treats the server as leaving until the next update. Its agent has just refused a call for good,
+    /// and the report that says so is up to two seconds away.
+    pub(super) fn avoid_until_update(&self) {
+        self.leaving.set(true);
+    }
+
     /// Sets the load that an answer carried.
     pub(super) fn set_load(&self, load: Load) {
         self.load.set(load);
