Answer keyed calls as unknown while the store cannot be read, and authenticate announcements

Cause: a repeat of a non-repeatable call during an outage of the store was refused as not run although its first submission might have run; and an announcement of a backend server needed no secret. Change: a claim that cannot be written gives store_unknown; PUT /v1/backend-server needs the shared secret. Conclusion: a caller has to repeat a keyed call after an outage, which is safe.

--- a/crates/calls/src/router/once.rs
+++ b/crates/calls/src/router/once.rs
@@ -89,10 +89,10 @@
         // The store and the agent have limits of their own; this one covers all steps together.
         match compio::time::timeout(time_left + DEADLINE_MARGIN, settled).await {
             Ok(result) => result,
-            Err(_) if once.is_opening.get() => Err(Error::new(
+            Err(_) if once.is_opening.get() => Err(unclaimed(&Error::new(
                 ErrorKind::StoreUnavailable,
                 "the deadline passed while the claim was written",
-            )),
+            ))),
             Err(_) => Err(unknown("the deadline passed while the claim was settled")),
         }
     }
@@ -152,7 +152,8 @@
                 self.claimant(&chosen),
                 once.deadline,
             )
-            .await?;
+            .await
+            .map_err(|error| unclaimed(&error))?;
         once.is_opening.set(false);
         Ok(step(claimed, chosen))
     }
@@ -329,6 +330,21 @@
     }
 }
 
+/// Answers a submission whose claim could not be written.
+///
+/// This submission did not run, but the key names one request over all its submissions: without the
+/// table nobody can tell whether an earlier one ran, so "not run" might be false.
+fn unclaimed(error: &Error) -> Error {
+    if error.kind != ErrorKind::StoreUnavailable {
+        return error.clone();
+    }
+    let detail = format!(
+        "this submission did not run; whether an earlier one with the same key ran is not known: {}",
+        error.detail
+    );
+    Error::new(ErrorKind::StoreUnknown, detail)
+}
+
 fn unknown(detail: &str) -> Error {
     Error::new(ErrorKind::UnknownOutcome, detail)
 }
--- a/crates/calls/src/slots/mod.rs
+++ b/crates/calls/src/slots/mod.rs
@@ -243,6 +243,7 @@
     }
 
     fn announce_from(&self, request: &Request) -> Result<()> {
+        request.check_secret(&self.0.secret)?;
         let announcement: Announcement = serde_json::from_slice(&request.body)
             .map_err(|error| Error::new(ErrorKind::BadRequest, error.to_string()))?;
         let (peer, announced) = (request.peer.ip(), announcement.address.ip());
