Close the gaps between awaits in the data-centre owner

Change: cancels are found by state and not by the change of a row; a start needs a queued phase; the planner forgets a job that moves away; departed rows, other homes and malformed rows are left out; any part that ended as finished ends the gang as finished, also when a stop meets it; refused starts are repeated after 0.1 s to 3.2 s, and workers that answer no start are avoided for 5 s to 40 s; the rows are read by a task of their own. execute.rs is split into plan, start, stop and record. The pause of the owner and the slow store have no test of their own.

--- a/crates/node/src/job_table.rs
+++ b/crates/node/src/job_table.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use log::warn;
+
 use crate::jobs::JobRecord;
 use crate::jobs::JobState;
 use crate::jobs::from_json;
@@ -92,7 +94,7 @@
         })
     }
 
-    /// Reads the jobs with these ids; ids without a row are left out.
+    /// Reads the jobs with these ids; ids without a row, and rows that cannot be decoded, are left out.
     ///
     /// # Errors
     /// Errors of the store.
@@ -101,10 +103,14 @@
         let mut jobs = Vec::new();
         for page in keys.chunks(PAGE_ROWS) {
             for row in self.table.get(page).await?.into_iter().flatten() {
-                jobs.push(StoredJob {
-                    record: from_json(&row.key, &row.value)?,
-                    version: row.version,
-                });
+                match from_json(&row.key, &row.value) {
+                    Ok(record) => jobs.push(StoredJob {
+                        record,
+                        version: row.version,
+                    }),
+                    // One bad row must not hold up all other jobs of the data centre.
+                    Err(error) => warn!("a job is left out: {error}"),
+                }
             }
         }
         Ok(jobs)
--- a/crates/node/src/owner/inbox.rs
+++ b/crates/node/src/owner/inbox.rs
@@ -1,6 +1,7 @@
 //! Jobs of the data centre, as they stand in the table.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use log::warn;
 
@@ -15,23 +16,60 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::backoff::Backoff;
 use nutmegwalk_fleet::StopReason;
+use nutmegwalk_net::Drain;
 
 impl DataCentreOwner {
-    /// Reads the data centre's jobs and takes over what is new.
-    pub(crate) async fn read_inbox(&self, epoch: Epoch) {
-        match self.read_jobs().await {
-            Ok((ids, jobs)) => {
-                let cancelled = self
-                    .with_term(epoch, |term| merge(term, &ids, jobs))
-                    .unwrap_or_default();
-                for job in cancelled {
-                    self.cancel(epoch, &job);
+    /// Reads the data centre's jobs after each notice and once per interval, until `drain` starts.
+    pub(crate) async fn follow_jobs(&self, drain: &Drain) {
+        let timings = self.inner.timings;
+        let mut last_read = Instant::now();
+        let mut backoff = Backoff::new(timings.tick * 4, timings.inbox);
+        while !drain.is_started() {
+            let epoch = self.inner.term.borrow().as_ref().map(|term| term.epoch);
+            let is_due = last_read.elapsed() >= timings.inbox || self.inner.inbox_due.get();
+            let Some(epoch) = epoch.filter(|_| is_due) else {
+                compio::time::sleep(timings.tick).await;
+                continue;
+            };
+            last_read = Instant::now();
+            self.inner.inbox_due.set(false);
+            match self.read_inbox(epoch).await {
+                Ok(()) => backoff = Backoff::new(timings.tick * 4, timings.inbox),
+                Err(error) => {
+                    warn!(data_centre = &*self.inner.data_centre; "cannot read the jobs: {error}");
+                    self.inner.inbox_due.set(true);
+                    compio::time::sleep(backoff.next_delay()).await;
                 }
             }
-            Err(error) => {
-                warn!(data_centre = &*self.inner.data_centre; "cannot read the jobs: {error}")
-            }
+        }
+    }
+
+    /// Reads the data centre's jobs and takes over what is new.
+    async fn read_inbox(&self, epoch: Epoch) -> Result<()> {
+        self.with_term(epoch, |term| term.departed.clear());
+        let (ids, jobs) = self.read_jobs().await?;
+        self.with_term(epoch, |term| {
+            merge(term, &self.inner.data_centre, &ids, jobs)
+        });
+        Ok(())
+    }
+
+    /// Gives up the jobs whose rows ask for it, however the owner learned of it.
+    pub(crate) fn cancel_requested(&self, epoch: Epoch) {
+        let cancelling = self.with_term(epoch, |term| {
+            let jobs = term.jobs.iter().filter(|(_, entry)| {
+                let can_act = matches!(
+                    entry.phase,
+                    Phase::Queued | Phase::Running { .. } | Phase::Starting { stop: None }
+                );
+                can_act && entry.stored.record.state == JobState::Cancelling
+            });
+            jobs.map(|(id, _)| id.clone()).collect::<Vec<_>>()
+        });
+        for job in cancelling.unwrap_or_default() {
+            self.cancel(epoch, &job);
         }
     }
 
@@ -59,15 +97,21 @@
     }
 }
 
-/// Takes over jobs that were read and returns those that are to be cancelled.
-fn merge(term: &mut Term, ids: &[JobId], jobs: Vec<StoredJob>) -> Vec<JobId> {
-    let mut cancelled = Vec::new();
+/// Takes over jobs that were read. Rows may be older than what this owner has written since.
+fn merge(term: &mut Term, data_centre: &str, ids: &[JobId], jobs: Vec<StoredJob>) {
     for stored in jobs {
         let id = stored.record.id.clone();
-        if stored.record.state.is_final() {
+        // The list is read before the rows, so a job may have ended or moved in between.
+        if stored.record.state.is_final() || *stored.record.home != *data_centre {
+            continue;
+        }
+        let has_departed = term
+            .departed
+            .get(&id)
+            .is_some_and(|version| stored.version <= *version);
+        if has_departed {
             continue;
         }
-        let is_cancelling = stored.record.state == JobState::Cancelling;
         match term.jobs.get_mut(&id) {
             None => {
                 let phase = if stored.record.run.is_some() {
@@ -75,30 +119,28 @@
                 } else {
                     Phase::Queued
                 };
-                let resolved = matches!(phase, Phase::Queued);
-                term.jobs.insert(id.clone(), JobEntry { stored, phase });
-                if is_cancelling && resolved {
-                    cancelled.push(id);
-                }
+                term.jobs.insert(id, JobEntry::new(stored, phase));
             }
             Some(entry) => {
                 // A row that this owner is writing has its newest version in the entry.
-                let is_news = stored.version > entry.stored.version;
-                let was_accepted = entry.stored.record.state == JobState::Accepted;
-                if is_news && !matches!(entry.phase, Phase::Ending) {
+                if stored.version > entry.stored.version && !matches!(entry.phase, Phase::Ending) {
                     entry.stored = stored;
-                    if is_cancelling && was_accepted && !matches!(entry.phase, Phase::Unresolved) {
-                        cancelled.push(id);
-                    }
                 }
             }
         }
     }
     let listed: BTreeSet<&JobId> = ids.iter().collect();
-    term.jobs
-        .retain(|id, entry| listed.contains(id) || !matches!(entry.phase, Phase::Queued));
+    let gone: Vec<JobId> = term
+        .jobs
+        .iter()
+        .filter(|(id, entry)| !listed.contains(id) && matches!(entry.phase, Phase::Queued))
+        .map(|(id, _)| id.clone())
+        .collect();
+    for job in gone {
+        term.withdraw(&job);
+        term.jobs.remove(&job);
+    }
     term.loaded = true;
-    cancelled
 }
 
 /// Gives queued jobs to the planner that it does not know yet.
@@ -109,7 +151,8 @@
     let now = term.now();
     for entry in term.jobs.values() {
         let is_accepted = entry.stored.record.state == JobState::Accepted;
-        if !matches!(entry.phase, Phase::Queued) || !is_accepted {
+        let is_due = entry.retry_at.is_none_or(|at| at <= Instant::now());
+        if !matches!(entry.phase, Phase::Queued) || !is_accepted || !is_due {
             continue;
         }
         if let Err(error) = term.fleet.submit(job_spec(&entry.stored.record), now)
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -3,10 +3,13 @@
 //! Any agent of the data centre may hold the ownership lease. A term lasts from winning the lease to
 //! losing it; everything that a term knows comes from the table and from the agents' reports.
 
-mod execute;
 mod inbox;
 pub mod messages;
+mod plan;
+mod record;
 mod reports;
+mod start;
+mod stop;
 mod term;
 
 pub(crate) use term::shape;
@@ -15,8 +18,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
+use futures_util::future::join;
 use log::info;
 
 use crate::api::JobExplanation;
@@ -168,27 +171,39 @@
         self
     }
 
+    /// Sets the intervals.
+    ///
+    /// # Panics
+    /// When the duty is shared already.
+    #[must_use]
+    pub fn with_timings(mut self, timings: OwnerTimings) -> Self {
+        let is_unique = Rc::get_mut(&mut self.inner)
+            .map(|inner| {
+                inner.timings = timings;
+                inner.driver = inner.driver.clone().with_timings(timings.gang);
+            })
+            .is_some();
+        debug_assert!(is_unique);
+        self
+    }
+
     /// Acts as the owner whenever the lease is held, until `drain` starts.
     pub async fn run(&self, drain: Drain) {
-        let mut last_inbox = Instant::now();
-        while !drain.is_started() {
-            let due = last_inbox.elapsed() >= self.inner.timings.inbox;
-            if due {
-                self.inner.inbox_due.set(true);
-                last_inbox = Instant::now();
+        let acting = async {
+            while !drain.is_started() {
+                self.tick();
+                compio::time::sleep(self.inner.timings.tick).await;
             }
-            self.tick().await;
-            compio::time::sleep(self.inner.timings.tick).await;
-        }
+        };
+        // Reads of a slow store do not hold up the planning.
+        join(acting, self.follow_jobs(&drain)).await;
     }
 
-    async fn tick(&self) {
+    fn tick(&self) {
         let Some(epoch) = self.enter_term() else {
             return;
         };
-        if self.inner.inbox_due.replace(false) {
-            self.read_inbox(epoch).await;
-        }
+        self.cancel_requested(epoch);
         self.resolve(epoch);
         self.plan(epoch);
     }
--- /dev/null
+++ b/crates/node/src/owner/plan.rs
@@ -0,0 +1,60 @@
+//! Rounds of planning: what the planner decides is carried out.
+
+use log::warn;
+
+use crate::jobs::JobState;
+use crate::owner::DataCentreOwner;
+use crate::owner::inbox::submit_queued;
+use crate::owner::term::Phase;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_fleet::Action;
+
+impl DataCentreOwner {
+    /// Lets the planner decide and carries its decisions out.
+    pub(crate) fn plan(&self, epoch: Epoch) {
+        let timings = self.inner.timings;
+        let actions = self.with_term(epoch, |term| {
+            let unresolved = term.jobs.values().any(|entry| matches!(entry.phase, Phase::Unresolved));
+            if !term.loaded || (unresolved && term.started.elapsed() < timings.rebuild) {
+                return Vec::new();
+            }
+            term.excuse_pause(timings.tick);
+            let now = term.now();
+            for (id, worker) in &mut term.workers {
+                if worker.usable && worker.last_heard.elapsed() >= timings.worker_silence {
+                    warn!(worker = &**id; "worker has been silent for {:?}", worker.last_heard.elapsed());
+                    worker.usable = false;
+                    term.fleet.worker_failed(id, now);
+                }
+            }
+            if term.started.elapsed() >= timings.rebuild {
+                term.log_degraded();
+            }
+            submit_queued(term);
+            if self.inner.view.start_permission(&self.inner.data_centre).is_err() && term.in_service {
+                // Without permission nothing can start, and a stop would only lose work.
+                return Vec::new();
+            }
+            term.fleet.schedule(now)
+        });
+        for action in actions.unwrap_or_default() {
+            match action {
+                Action::Start {
+                    job,
+                    placements,
+                    borrowed,
+                } => self.start(epoch, &job, placements, borrowed),
+                Action::Stop {
+                    job,
+                    reason,
+                    within,
+                } => self.stop(epoch, &job, reason, within),
+                Action::Throttle { job } => self.throttle(epoch, &job),
+                Action::Reject { job, error } => {
+                    self.end_job(epoch, &job, JobState::Failed, Some(error))
+                }
+            }
+        }
+        self.move_away(epoch);
+    }
+}
--- a/crates/node/src/owner/reports.rs
+++ b/crates/node/src/owner/reports.rs
@@ -92,7 +92,11 @@
         for job in unresolved.unwrap_or_default() {
             let view = self.with_term(epoch, |term| {
                 let silence_is_final = term.started.elapsed() > quiet;
-                let run = term.jobs.get(&job)?.stored.record.run.clone()?;
+                let entry = term.jobs.get_mut(&job)?;
+                let Some(run) = entry.stored.record.run.clone() else {
+                    entry.phase = Phase::Queued;
+                    return None;
+                };
                 let view = judge_attempt(
                     &term.workers,
                     &job,
@@ -166,6 +170,10 @@
                 if !stopped.is_settled() {
                     compio::time::sleep(owner.inner.timings.gang.quiet()).await;
                 }
+                if owner.is_finished(epoch, &job, &stopped) {
+                    owner.finish(epoch, &job);
+                    return;
+                }
             }
             owner
                 .settle_stopped(epoch, &job, StopReason::WorkerFailed, checkpoint_ms)
@@ -201,23 +209,30 @@
     let previous = term.workers.get(&id);
     let is_new =
         previous.is_none_or(|known| known.incarnation != report.incarnation || !known.usable);
-    if is_new && !report.draining {
+    let avoid_until = previous.and_then(|known| known.avoid_until);
+    let avoid_until = avoid_until.filter(|until| *until > Instant::now());
+    let unanswered = previous.map_or(0, |known| known.unanswered);
+    let usable = !report.draining && avoid_until.is_none();
+    if is_new {
+        // The planner has to know also a worker that takes no tasks, for the gangs that run there.
         let spec = WorkerSpec {
             id: id.clone(),
             rack: report.rack.clone(),
             shape: shape(report.shape),
         };
         term.fleet.upsert_worker(spec, now);
-        term.fleet.set_worker_usable(&id, true, now);
+        term.fleet.set_worker_usable(&id, usable, now);
     }
-    if report.draining && previous.is_some_and(|known| known.usable) {
+    if !usable && previous.is_some_and(|known| known.usable) {
         term.fleet.set_worker_usable(&id, false, now);
     }
     let entry = WorkerEntry {
         address: report.address,
         incarnation: report.incarnation,
         last_heard: Instant::now(),
-        usable: !report.draining,
+        usable,
+        unanswered,
+        avoid_until,
         gangs: report.gangs,
     };
     term.workers.insert(id, entry);
@@ -232,14 +247,13 @@
         let entry = term.jobs.get(&part.job);
         let is_current = entry.is_some_and(|entry| entry.attempt() == Some(part.attempt));
         if !is_current {
-            let is_active = matches!(part.phase, AttemptPhase::Running | AttemptPhase::Bound);
-            // An attempt of this term whose row is not written yet is current without being recorded.
-            if is_active && (part.attempt.epoch < term.epoch || entry.is_none()) {
+            // An attempt is recorded before its first command, so one that is not recorded is over.
+            if matches!(part.phase, AttemptPhase::Running | AttemptPhase::Bound) {
                 followup.orphans.push(orphan(report, part));
             }
             continue;
         }
-        if part.lead
+        if (part.lead || part.end == Some(GangEnd::Finished))
             && part.phase == AttemptPhase::Ended
             && entry.is_some_and(|entry| matches!(entry.phase, Phase::Running { .. }))
         {
--- /dev/null
+++ b/crates/node/src/owner/stop.rs
@@ -0,0 +1,280 @@
+//! Stops of gangs, and the ends that their leads report.
+
+use std::time::Duration;
+
+use log::debug;
+use log::info;
+use log::warn;
+
+use crate::jobs::JobRecord;
+use crate::jobs::JobState;
+use crate::jobs::UNASSIGNED;
+use crate::jobs::unix_ms;
+use crate::owner::DataCentreOwner;
+use crate::owner::record::checkpoint_of;
+use crate::owner::term::Phase;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::JobId;
+use nutmegwalk_fleet::StopReason;
+use nutmegwalk_gang::GangEnd;
+use nutmegwalk_gang::GangHandle;
+use nutmegwalk_gang::Running;
+use nutmegwalk_gang::Stopped;
+use nutmegwalk_gang::TaskState;
+
+/// Processor share of a task that will be stopped as soon as it has written its checkpoint.
+const RECLAIM_SHARE_PERCENT: u32 = 25;
+
+impl DataCentreOwner {
+    /// Sends queued jobs of a data centre that is out of service back to the dispatcher.
+    pub(crate) fn move_away(&self, epoch: Epoch) {
+        let queued = self.with_term(epoch, |term| {
+            if term.in_service || !term.loaded || term.config_version.is_none() {
+                return Vec::new();
+            }
+            let mut queued = Vec::new();
+            for (id, entry) in &mut term.jobs {
+                if matches!(entry.phase, Phase::Queued) {
+                    entry.phase = Phase::Ending;
+                    queued.push(id.clone());
+                }
+            }
+            // A data centre that returns while the rows are written must not start these jobs.
+            for job in &queued {
+                term.withdraw(job);
+            }
+            queued
+        });
+        for job in queued.unwrap_or_default() {
+            let owner = self.clone();
+            compio::runtime::spawn(async move {
+                owner
+                    .settle_stopped(epoch, &job, StopReason::OutOfService, None)
+                    .await;
+            })
+            .detach();
+        }
+    }
+
+    /// Stops a job in whatever phase it is.
+    pub(crate) fn stop(&self, epoch: Epoch, job: &str, reason: StopReason, within: Duration) {
+        enum Step {
+            Nothing,
+            CancelStart,
+            StopGang(GangHandle<Running>),
+        }
+        let step = self.with_term(epoch, |term| {
+            let Some(entry) = term.jobs.get_mut(job) else {
+                return Step::Nothing;
+            };
+            match std::mem::replace(&mut entry.phase, Phase::Ending) {
+                Phase::Running { gang, .. } => Step::StopGang(gang),
+                Phase::Starting { .. } => {
+                    entry.phase = Phase::Starting { stop: Some(reason) };
+                    Step::CancelStart
+                }
+                other => {
+                    entry.phase = other;
+                    Step::Nothing
+                }
+            }
+        });
+        match step {
+            None | Some(Step::Nothing) => {}
+            Some(Step::CancelStart) => {
+                let attempt = self.with_term(epoch, |term| {
+                    term.jobs.get(job).and_then(|entry| entry.attempt())
+                });
+                if let Some(Some(attempt)) = attempt {
+                    self.inner.driver.cancel(job, attempt);
+                }
+            }
+            Some(Step::StopGang(gang)) => {
+                info!(job = job; "stopping the gang: {reason:?}");
+                let (owner, job) = (self.clone(), JobId::from(job));
+                compio::runtime::spawn(async move {
+                    owner.stop_gang(epoch, &job, gang, reason, within).await;
+                })
+                .detach();
+            }
+        }
+    }
+
+    async fn stop_gang(
+        &self,
+        epoch: Epoch,
+        job: &JobId,
+        gang: GangHandle<Running>,
+        reason: StopReason,
+        within: Duration,
+    ) {
+        let driver = &self.inner.driver;
+        let stopped = if within.is_zero() {
+            driver.stop(gang).await
+        } else {
+            if let Err(error) = driver.throttle(&gang, RECLAIM_SHARE_PERCENT).await {
+                debug!(job = &**job; "cannot throttle all tasks: {error}");
+            }
+            driver.checkpoint_and_stop(gang, within).await
+        };
+        if !stopped.is_settled() {
+            compio::time::sleep(self.inner.timings.gang.quiet()).await;
+        }
+        if self.is_finished(epoch, job, &stopped) {
+            self.finish(epoch, job);
+            return;
+        }
+        self.settle_stopped(epoch, job, reason, stopped.checkpoint_ms())
+            .await;
+    }
+
+    /// Returns whether all tasks of a stopped gang had finished by themselves before.
+    pub(crate) fn is_finished(
+        &self,
+        epoch: Epoch,
+        job: &str,
+        stopped: &GangHandle<Stopped>,
+    ) -> bool {
+        let tasks = self
+            .with_term(epoch, |term| {
+                Some(term.jobs.get(job)?.stored.record.request.tasks)
+            })
+            .flatten();
+        let members = stopped.members();
+        tasks.is_some_and(|tasks| members.len() == tasks as usize)
+            && members
+                .iter()
+                .all(|member| member.state == Some(TaskState::Finished))
+    }
+
+    /// Records that no task of a job runs any more.
+    pub(crate) async fn settle_stopped(
+        &self,
+        epoch: Epoch,
+        job: &JobId,
+        reason: StopReason,
+        checkpoint_ms: Option<u64>,
+    ) {
+        let change = |record: &JobRecord| {
+            let mut record = record.clone();
+            record.run = None;
+            record.checkpoint_ms = record.checkpoint_ms.max(checkpoint_ms.unwrap_or(0));
+            if record.state == JobState::Cancelling {
+                record.state = JobState::Cancelled;
+                record.ended_unix_ms = Some(unix_ms());
+            } else if reason == StopReason::OutOfService {
+                record.home = UNASSIGNED.into();
+            }
+            record
+        };
+        let Ok(record) = self.update(epoch, job, change).await else {
+            return;
+        };
+        self.with_term(epoch, |term| {
+            if record.state.is_final() || *record.home != *self.inner.data_centre {
+                term.withdraw(job);
+                term.remove_job(job);
+                return;
+            }
+            let now = term.now();
+            if let Some(entry) = term.jobs.get_mut(job) {
+                entry.phase = Phase::Queued;
+            }
+            term.fleet.stopped(job, checkpoint_of(&record), now);
+        });
+    }
+
+    /// Takes the end of a gang that its lead has reported.
+    pub(crate) fn gang_ended(&self, epoch: Epoch, job: &JobId, end: GangEnd) {
+        let gang = self.with_term(epoch, |term| {
+            let entry = term.jobs.get_mut(job)?;
+            match std::mem::replace(&mut entry.phase, Phase::Ending) {
+                Phase::Running { gang, .. } => Some(gang),
+                other => {
+                    entry.phase = other;
+                    None
+                }
+            }
+        });
+        let Some(Some(gang)) = gang else {
+            return;
+        };
+        if end == GangEnd::Finished {
+            self.finish(epoch, job);
+            return;
+        }
+        info!(job = &**job; "gang ended: {end:?}");
+        let (owner, job) = (self.clone(), job.clone());
+        compio::runtime::spawn(async move { owner.recover_gang(epoch, &job, gang).await }).detach();
+    }
+
+    /// Stops what is left of a gang that ended early and puts its job back into the queue.
+    async fn recover_gang(&self, epoch: Epoch, job: &JobId, gang: GangHandle<Running>) {
+        let attempt = gang.spec().attempt;
+        let stopped = self.inner.driver.stop(gang).await;
+        if !stopped.is_settled() {
+            compio::time::sleep(self.inner.timings.gang.quiet()).await;
+        }
+        if self.is_finished(epoch, job, &stopped) {
+            self.finish(epoch, job);
+            return;
+        }
+        let culprit = self
+            .with_term(epoch, |term| term.failed_worker(job, attempt))
+            .flatten();
+        let is_cancelled = self.with_term(epoch, |term| {
+            term.jobs
+                .get(job)
+                .is_some_and(|entry| entry.stored.record.state == JobState::Cancelling)
+        });
+        if let (Some(worker), Some(false)) = (&culprit, is_cancelled) {
+            let checkpoint_ms = stopped.checkpoint_ms().unwrap_or(0);
+            let record_stop = |record: &JobRecord| JobRecord {
+                run: None,
+                checkpoint_ms: record.checkpoint_ms.max(checkpoint_ms),
+                ..record.clone()
+            };
+            if self.update(epoch, job, record_stop).await.is_ok() {
+                self.with_term(epoch, |term| {
+                    let now = term.now();
+                    if let Some(entry) = term.jobs.get_mut(job) {
+                        entry.phase = Phase::Queued;
+                    }
+                    term.fleet.start_failed(job, Some(worker), now);
+                });
+            }
+            return;
+        }
+        self.settle_stopped(
+            epoch,
+            job,
+            StopReason::WorkerFailed,
+            stopped.checkpoint_ms(),
+        )
+        .await;
+    }
+
+    pub(crate) fn throttle(&self, epoch: Epoch, job: &JobId) {
+        let gang = self.with_term(epoch, |term| match &term.jobs.get(job)?.phase {
+            Phase::Running { gang, .. } => {
+                Some(self.inner.driver.adopt(gang.spec().clone(), epoch))
+            }
+            _ => None,
+        });
+        let Some(Some(gang)) = gang else {
+            return;
+        };
+        let (owner, job) = (self.clone(), job.clone());
+        compio::runtime::spawn(async move {
+            if let Err(error) = owner
+                .inner
+                .driver
+                .throttle(&gang, RECLAIM_SHARE_PERCENT)
+                .await
+            {
+                warn!(job = &*job; "cannot throttle all tasks: {error}");
+            }
+        })
+        .detach();
+    }
+}
--- a/crates/node/src/owner/term.rs
+++ b/crates/node/src/owner/term.rs
@@ -34,6 +34,12 @@
 use nutmegwalk_gang::GangSpec;
 use nutmegwalk_gang::MemberSpec;
 use nutmegwalk_gang::Running;
+use nutmegwalk_store::RowVersion;
+
+/// Pause before a refused start is repeated; it doubles up to 32 times this.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+/// Time without placements on a worker that did not answer a start; it doubles up to 8 times this.
+const FIRST_AVOIDANCE: Duration = Duration::from_secs(5);
 
 /// State of a job during a term.
 pub(crate) enum Phase {
@@ -61,9 +67,22 @@
 pub(crate) struct JobEntry {
     pub(crate) stored: StoredJob,
     pub(crate) phase: Phase,
+    /// Starts in a row that were refused for lack of room, permission or connection.
+    pub(crate) refusals: u32,
+    /// The planner gets the job again then.
+    pub(crate) retry_at: Option<Instant>,
 }
 
 impl JobEntry {
+    pub(crate) fn new(stored: StoredJob, phase: Phase) -> Self {
+        Self {
+            stored,
+            phase,
+            refusals: 0,
+            retry_at: None,
+        }
+    }
+
     pub(crate) fn attempt(&self) -> Option<Attempt> {
         self.stored.record.run.as_ref().map(|run| run.attempt)
     }
@@ -75,6 +94,10 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) last_heard: Instant,
     pub(crate) usable: bool,
+    /// Starts in a row that the worker or its agent did not answer.
+    pub(crate) unanswered: u32,
+    /// Until then no tasks are placed on the worker.
+    pub(crate) avoid_until: Option<Instant>,
     pub(crate) gangs: GangReport,
 }
 
@@ -88,6 +111,9 @@
     pub(crate) loaded: bool,
     pub(crate) config_version: Option<u64>,
     pub(crate) in_service: bool,
+    /// Versions with which jobs left while the rows were being read.
+    pub(crate) departed: BTreeMap<JobId, RowVersion>,
+    last_plan: Instant,
     next_sequence: u64,
     logged_degraded: Vec<Degraded>,
 }
@@ -103,6 +129,8 @@
             loaded: false,
             config_version: None,
             in_service: true,
+            departed: BTreeMap::new(),
+            last_plan: Instant::now(),
             next_sequence: 1,
             logged_degraded: Vec::new(),
         }
@@ -122,6 +150,58 @@
         attempt
     }
 
+    /// Takes a job that does not run out of the planner.
+    pub(crate) fn withdraw(&mut self, job: &str) {
+        let now = self.now();
+        self.fleet.cancel(job, now);
+        self.fleet.stopped(job, Duration::ZERO, now);
+    }
+
+    /// Forgets a job; rows of it that were read before its last write are ignored.
+    pub(crate) fn remove_job(&mut self, job: &str) {
+        if let Some(entry) = self.jobs.remove(job) {
+            let id = entry.stored.record.id;
+            self.departed.insert(id, entry.stored.version);
+        }
+    }
+
+    /// Gives a job back to the planner after a pause that grows with the refusals, because each try
+    /// costs a write and a message to every agent.
+    pub(crate) fn retry_later(&mut self, job: &str) {
+        self.withdraw(job);
+        if let Some(entry) = self.jobs.get_mut(job) {
+            let pause = FIRST_RETRY * 2_u32.pow(entry.refusals.min(5));
+            entry.refusals = entry.refusals.saturating_add(1);
+            entry.retry_at = Some(Instant::now() + pause);
+        }
+    }
+
+    /// Places no tasks on a worker for a while that did not answer a start.
+    pub(crate) fn avoid(&mut self, worker: &str) {
+        let now = self.now();
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let pause = FIRST_AVOIDANCE * 2_u32.pow(entry.unanswered.min(3));
+        log::warn!(worker = worker; "no tasks are placed on the worker for {pause:?}");
+        entry.unanswered = entry.unanswered.saturating_add(1);
+        entry.avoid_until = Some(Instant::now() + pause);
+        entry.usable = false;
+        self.fleet.set_worker_usable(worker, false, now);
+    }
+
+    /// Does not count a pause of this process as silence of the workers, whose reports wait to be read.
+    pub(crate) fn excuse_pause(&mut self, tick: Duration) {
+        let pause = self.last_plan.elapsed();
+        self.last_plan = Instant::now();
+        if pause < tick * 10 {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            worker.last_heard = (worker.last_heard + pause).min(self.last_plan);
+        }
+    }
+
     /// Takes over the parts of a configuration that concern the data centre.
     pub(crate) fn configure(
         &mut self,
@@ -302,6 +382,10 @@
             .iter()
             .find(|one| &*one.job == job && one.attempt == attempt);
         match found {
+            // Only the lead's verdict that all members have finished makes any part end so.
+            Some(part) if part.end == Some(GangEnd::Finished) => {
+                return AttemptView::Ended(GangEnd::Finished);
+            }
             Some(part) if part.lead && part.phase == AttemptPhase::Ended => {
                 return AttemptView::Ended(part.end.unwrap_or(GangEnd::Lost));
             }
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,483 @@
+//! Owners and agents of one data centre in one process, with fake workers and a faulty table.
+#![allow(dead_code, unreachable_pub)]
+
+pub mod table;
+pub mod worker;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use table::FaultyTable;
+use worker::FakeWorker;
+use worker::Log;
+
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_config::Configuration;
+use nutmegwalk_config::DataCentre;
+use nutmegwalk_config::TakenOut;
+use nutmegwalk_config::WorkerShape;
+use nutmegwalk_fleet::Placement;
+use nutmegwalk_gang::Attempt;
+use nutmegwalk_gang::GangAgent;
+use nutmegwalk_gang::GangTimings;
+use nutmegwalk_gang::Resources;
+use nutmegwalk_gang::StartPermission;
+use nutmegwalk_lease::OwnerRow;
+use nutmegwalk_lease::Ownership;
+use nutmegwalk_lease::Timing;
+use nutmegwalk_lease::owner_key;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Fault;
+use nutmegwalk_net::Handler;
+use nutmegwalk_net::LinkFaults;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_net::Server;
+use nutmegwalk_net::ServerLimits;
+use nutmegwalk_node::job_table::JobTable;
+use nutmegwalk_node::jobs::JobRecord;
+use nutmegwalk_node::jobs::JobRequest;
+use nutmegwalk_node::jobs::JobState;
+use nutmegwalk_node::jobs::RunRecord;
+use nutmegwalk_node::jobs::unix_ms;
+use nutmegwalk_node::owner::DataCentreOwner;
+use nutmegwalk_node::owner::OwnerTimings;
+use nutmegwalk_node::owner::messages::AgentReport;
+use nutmegwalk_store::MemoryStore;
+use nutmegwalk_store::StoreClient;
+use nutmegwalk_sync::Step;
+use nutmegwalk_sync::SyncTimings;
+use nutmegwalk_sync::View;
+
+/// Limit for every wait; only a fault reaches it.
+pub const LIMIT: Duration = Duration::from_secs(60);
+pub const DATA_CENTRE: &str = "rezekne";
+const SECRET: &str = "owner-test-secret";
+const ACCELERATORS: u32 = 8;
+
+pub fn timings() -> OwnerTimings {
+    OwnerTimings {
+        inbox: Duration::from_millis(300),
+        gang: GangTimings {
+            reservation: Duration::from_millis(1500),
+            lease: Duration::from_secs(3),
+            renew_interval: Duration::from_millis(300),
+            exchange: Duration::from_millis(700),
+            step: Duration::from_millis(1500),
+            ..GangTimings::default()
+        },
+        ..OwnerTimings::default()
+    }
+}
+
+const LEASE: Timing = Timing {
+    lease: Duration::from_secs(2),
+    margin: Duration::from_millis(200),
+    renew_every: Duration::from_millis(400),
+    poll_every: Duration::from_millis(200),
+};
+
+/// Cuts all links from the processes named.
+#[derive(Default)]
+pub struct Cuts(pub Mutex<BTreeSet<Box<str>>>);
+
+impl LinkFaults for Cuts {
+    fn fault(&self, from: &str, _to: SocketAddr, _path: &str) -> Fault {
+        if self.0.lock().unwrap().contains(from) {
+            Fault::Cut
+        } else {
+            Fault::None
+        }
+    }
+}
+
+/// An owner process, without a worker.
+pub struct Owner {
+    pub name: Box<str>,
+    pub address: SocketAddr,
+    pub ownership: Rc<Ownership>,
+    pub duty: DataCentreOwner,
+    pub table: Rc<FaultyTable>,
+    drain: Drain,
+    tasks: RefCell<Vec<compio::runtime::JoinHandle<()>>>,
+}
+
+struct OwnerHandler(DataCentreOwner);
+
+impl Handler for OwnerHandler {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        self.0
+            .handle(&request)
+            .unwrap_or_else(|| Response::new(404, ""))
+    }
+}
+
+/// An agent with its worker.
+pub struct Site {
+    pub worker: Rc<FakeWorker>,
+    pub address: SocketAddr,
+    pub shared: Rc<SiteShared>,
+}
+
+pub struct SiteShared {
+    pub agent: RefCell<GangAgent>,
+    /// Requests are not answered, and no reports are sent.
+    pub silent: Cell<bool>,
+    /// Size that is reported.
+    pub reported: Cell<u32>,
+    pub paths: RefCell<Vec<Box<str>>>,
+}
+
+impl Handler for SiteShared {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        if self.silent.get() {
+            return std::future::pending().await;
+        }
+        self.paths.borrow_mut().push(request.path.clone());
+        let agent = self.agent.borrow().clone();
+        agent
+            .handle(&request)
+            .await
+            .unwrap_or_else(|| Response::new(404, ""))
+    }
+}
+
+struct Permission(View);
+
+impl StartPermission for Permission {
+    fn check(&self, _epoch: u64) -> nutmegwalk_base::Result<()> {
+        self.0.start_permission(DATA_CENTRE)
+    }
+}
+
+pub struct World {
+    pub table: Rc<FaultyTable>,
+    pub jobs: JobTable,
+    pub view: View,
+    pub log: Log,
+    pub sites: Vec<Site>,
+    pub cuts: Arc<Cuts>,
+}
+
+impl World {
+    pub async fn new(workers: usize) -> Self {
+        let table = Rc::new(FaultyTable::default());
+        let view = View::new(SyncTimings::default());
+        let mut world = Self {
+            // Past the faults.
+            jobs: JobTable::new(Rc::clone(&table.memory) as _),
+            table,
+            view: view.clone(),
+            log: Log::default(),
+            sites: Vec::new(),
+            cuts: Arc::default(),
+        };
+        world.set_in_service(true);
+        compio::runtime::spawn(async move {
+            loop {
+                view.confirm(view.version(), Instant::now());
+                compio::time::sleep(Duration::from_millis(100)).await;
+            }
+        })
+        .detach();
+        for index in 0..workers {
+            let worker = FakeWorker::new(&format!("worker-{index}"), Rc::clone(&world.log));
+            let site = world.start_site(worker).await;
+            world.sites.push(site);
+        }
+        world
+    }
+
+    pub fn client(&self, name: &str) -> Client {
+        let client = Client::new(name, Secret::new(SECRET)).unwrap();
+        client.with_faults(Arc::clone(&self.cuts) as Arc<dyn LinkFaults>)
+    }
+
+    pub fn set_in_service(&self, in_service: bool) {
+        let version = self.view.version() + 1;
+        let mut configuration = Configuration {
+            version,
+            ..Configuration::default()
+        };
+        let data_centre = DataCentre {
+            region: "kurzeme".into(),
+            in_service,
+            racks: BTreeMap::new(),
+        };
+        configuration
+            .data_centres
+            .insert(DATA_CENTRE.into(), data_centre);
+        if !in_service {
+            let out = TakenOut {
+                version,
+                lost: false,
+            };
+            configuration.taken_out.insert(DATA_CENTRE.into(), out);
+        }
+        let step = Step {
+            configuration: Rc::new(configuration),
+            change: None,
+        };
+        assert!(self.view.advance(&[step]));
+        self.view.confirm(version, Instant::now());
+    }
+
+    async fn start_site(&self, worker: Rc<FakeWorker>) -> Site {
+        let address = "127.0.0.1:0".parse().unwrap();
+        let server = Server::bind(address, ServerLimits::default())
+            .await
+            .unwrap();
+        let address = server.local_address();
+        let shared = Rc::new(SiteShared {
+            agent: RefCell::new(self.agent(&worker, address)),
+            silent: Cell::new(false),
+            reported: Cell::new(ACCELERATORS),
+            paths: RefCell::default(),
+        });
+        compio::runtime::spawn(server.serve(Rc::clone(&shared), Drain::new())).detach();
+        let site = Site {
+            worker,
+            address,
+            shared,
+        };
+        let agent = site.shared.agent.borrow().clone();
+        agent.recover().await.unwrap();
+        self.spawn_reports(&site);
+        site
+    }
+
+    fn agent(&self, worker: &Rc<FakeWorker>, address: SocketAddr) -> GangAgent {
+        GangAgent::new(
+            Rc::clone(worker) as _,
+            self.client("agent"),
+            Secret::new(SECRET),
+            address,
+            Rc::new(Permission(self.view.clone())),
+        )
+        .with_timings(timings().gang)
+        .with_capacity(Resources {
+            cores: 64,
+            memory_mb: 128_000,
+            accelerators: ACCELERATORS,
+        })
+    }
+
+    /// Replaces the agent's process by a new one without memory, at the same address.
+    pub async fn restart_agent(&self, index: usize) {
+        let site = &self.sites[index];
+        site.shared.agent.borrow().shut_down();
+        let agent = self.agent(&site.worker, site.address);
+        *site.shared.agent.borrow_mut() = agent.clone();
+        agent.recover().await.unwrap();
+    }
+
+    fn spawn_reports(&self, site: &Site) {
+        let (shared, table) = (Rc::clone(&site.shared), Rc::clone(&self.table));
+        let client = self.client("agent");
+        let address = site.address;
+        let worker = Rc::clone(&site.worker);
+        compio::runtime::spawn(async move {
+            loop {
+                compio::time::sleep(Duration::from_millis(100)).await;
+                let Some(row) = owner_row(&table).filter(|_| !shared.silent.get()) else {
+                    continue;
+                };
+                let agent = shared.agent.borrow().clone();
+                agent.set_epoch_floor(row.epoch);
+                let report = agent_report(address, agent.report(), shared.reported.get());
+                let Ok(owner) = row.address.parse() else {
+                    continue;
+                };
+                worker.running();
+                if let Ok(answer) = client.send(owner, &report, Duration::from_secs(1)).await {
+                    agent.acknowledge(answer.acknowledged);
+                }
+            }
+        })
+        .detach();
+    }
+
+    /// Starts an owner process, which contends for the data centre.
+    pub async fn start_owner(&self, name: &str) -> Owner {
+        let address = "127.0.0.1:0".parse().unwrap();
+        let server = Server::bind(address, ServerLimits::default())
+            .await
+            .unwrap();
+        let address = server.local_address();
+        let table = Rc::clone(&self.table);
+        let store = StoreClient::new(Rc::clone(&table) as _, Rc::new(MemoryStore::new()));
+        let ownership =
+            Ownership::with_timing(store, DATA_CENTRE, name, address.to_string(), LEASE);
+        let ownership = Rc::new(ownership);
+        let duty = DataCentreOwner::new(
+            DATA_CENTRE.into(),
+            Rc::clone(&ownership),
+            JobTable::new(Rc::clone(&table) as _),
+            self.client(name),
+            self.view.clone(),
+            Secret::new(SECRET),
+        )
+        .with_timings(timings());
+        let drain = Drain::new();
+        let handler = Rc::new(OwnerHandler(duty.clone()));
+        let served = compio::runtime::spawn(server.serve(handler, drain.clone()));
+        let (running, contending, stop) = (duty.clone(), Rc::clone(&ownership), drain.clone());
+        let run = compio::runtime::spawn(async move { running.run(stop).await });
+        let contend = compio::runtime::spawn(async move { contending.run().await });
+        Owner {
+            name: name.into(),
+            address,
+            ownership,
+            duty,
+            table,
+            drain,
+            tasks: RefCell::new(vec![served, run, contend]),
+        }
+    }
+
+    /// Ends an owner's process: it neither sends nor renews any more.
+    pub fn kill(&self, owner: &Owner) {
+        self.cuts.0.lock().unwrap().insert(owner.name.clone());
+        owner.drain.start();
+        owner.tasks.borrow_mut().clear();
+    }
+
+    pub async fn submit(&self, id: &str, tasks: u32, accelerators: u32) {
+        self.jobs
+            .accept(&record(id, tasks, accelerators))
+            .await
+            .unwrap();
+    }
+
+    pub async fn row(&self, id: &str) -> JobRecord {
+        self.jobs.read(id).await.unwrap().record
+    }
+
+    pub async fn wait_for_row(&self, id: &str, what: &str, reached: impl Fn(&JobRecord) -> bool) {
+        let started = Instant::now();
+        loop {
+            let row = self.row(id).await;
+            if reached(&row) {
+                return;
+            }
+            assert!(started.elapsed() < LIMIT, "no {what}: {row:?}");
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub async fn wait_for(&self, what: &str, reached: impl Fn(&Self) -> bool) {
+        let started = Instant::now();
+        while !reached(self) {
+            let log = self.log.borrow();
+            assert!(started.elapsed() < LIMIT, "no {what}: {log:?}");
+            drop(log);
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub fn running(&self) -> usize {
+        self.sites.iter().map(|site| site.worker.running()).sum()
+    }
+
+    /// Returns the attempts of a job that started a task, in order.
+    pub fn attempts(&self, job: &str) -> Vec<Attempt> {
+        let log = self.log.borrow();
+        let starts = log.iter().filter(|event| event.end.is_none());
+        let attempts: BTreeSet<Attempt> = starts
+            .filter(|event| &*event.job == job)
+            .map(|event| event.attempt)
+            .collect();
+        attempts.into_iter().collect()
+    }
+
+    /// Checks that no task was started while another attempt of its job ran.
+    pub fn check_runs_once(&self) {
+        let mut running: BTreeMap<Box<str>, BTreeSet<(Attempt, u32)>> = BTreeMap::new();
+        for event in self.log.borrow().iter() {
+            let tasks = running.entry(event.job.clone()).or_default();
+            if event.end.is_some() {
+                tasks.remove(&(event.attempt, event.member));
+                continue;
+            }
+            let other = tasks.iter().find(|task| task.0 != event.attempt);
+            assert!(other.is_none(), "{event:?} started while {other:?} ran");
+            tasks.insert((event.attempt, event.member));
+        }
+    }
+}
+
+pub fn owner_row(table: &FaultyTable) -> Option<OwnerRow> {
+    let rows = table.memory.read(&[owner_key(DATA_CENTRE)]);
+    let row: OwnerRow = serde_json::from_str(&rows.first()?.as_ref()?.value).ok()?;
+    (!row.is_released()).then_some(row)
+}
+
+pub fn agent_report(
+    address: SocketAddr,
+    gangs: nutmegwalk_gang::GangReport,
+    accelerators: u32,
+) -> AgentReport {
+    AgentReport {
+        process: format!("agent-{}", gangs.worker).into(),
+        incarnation: 1,
+        address,
+        data_centre: DATA_CENTRE.into(),
+        rack: "r1".into(),
+        shape: WorkerShape {
+            cores: 64,
+            memory_mb: 128_000,
+            accelerators,
+        },
+        draining: false,
+        gangs,
+    }
+}
+
+pub fn record(id: &str, tasks: u32, accelerators: u32) -> JobRecord {
+    JobRecord {
+        id: id.into(),
+        customer: "plank".into(),
+        request: JobRequest {
+            service: "plank-desk".into(),
+            tasks,
+            shape: WorkerShape {
+                cores: 1,
+                memory_mb: 100,
+                accelerators,
+            },
+            adjacency: nutmegwalk_config::Adjacency::DataCentre,
+            guarantee: None,
+            declared_run_ms: None,
+            payload: "".into(),
+        },
+        state: JobState::Accepted,
+        home: DATA_CENTRE.into(),
+        checkpoint_ms: 0,
+        accepted_unix_ms: unix_ms(),
+        ended_unix_ms: None,
+        error: None,
+        run: None,
+    }
+}
+
+/// An attempt with one task on each of `workers`.
+pub fn run_on(attempt: Attempt, workers: &[&str]) -> RunRecord {
+    let placement = |worker: &&str| Placement {
+        worker: (*worker).into(),
+        tasks: 1,
+    };
+    RunRecord {
+        attempt,
+        placements: workers.iter().map(placement).collect(),
+        borrowed: true,
+    }
+}
