Give callers and entry hosts notice before a planned stop, and export gauges

Cause: a stopping agent stopped its reports at once, so entry hosts kept choosing it until its connections closed; a stopping entry host closed idle connections on which a request could be under way; expired claims were never removed; the counters of routing, slots, store and owner could not be scraped. Change: both daemons keep serving and reporting for 2 s after SIGTERM, an entry host closes connections by its answers, then both close; the dispatcher's entry host removes expired claims once a minute; /metrics has gauges for version, view age, store requests by duty, calls, cross-region bytes and the owner's figures. Conclusion: a planned stop takes 2 s longer and refuses instead of cutting off.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -13,8 +13,10 @@
 use serde::Serialize;
 
 use crate::common::Links;
+use crate::common::METRICS_PATH;
 use crate::common::bounded;
 use crate::common::handle_health;
+use crate::gauges::Gauges;
 use crate::job_table::JobTable;
 use crate::options::NodeOptions;
 use crate::owner::DataCentreOwner;
@@ -47,6 +49,7 @@
 use nutmegwalk_net::ServerLimits;
 use nutmegwalk_net::encode;
 use nutmegwalk_store::Duty;
+use nutmegwalk_store::StoreClient;
 use nutmegwalk_sync::Membership;
 use nutmegwalk_sync::Payload;
 use nutmegwalk_sync::Report;
@@ -62,6 +65,9 @@
 const CHANGE_POLL: Duration = Duration::from_millis(100);
 /// Time for one report to the owner.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a stopping agent still reports and refuses calls, so that entry hosts learn that it
+/// leaves before its connections close; a poll a second and a relay in between need two seconds.
+const LEAVE_NOTICE: Duration = Duration::from_secs(2);
 /// Processes of a data centre that contend for its ownership.
 const MAX_CONTENDERS: usize = 3;
 /// Time for the store requests of an owner, which are repeated by the owner.
@@ -96,9 +102,13 @@
     ownership: Rc<Ownership>,
     owner: DataCentreOwner,
     metrics: Metrics,
+    gauges: Gauges,
+    store: StoreClient,
     requests: Counter<u64>,
     /// Starts with the planned stop.
     drain: Drain,
+    /// Starts when the calls in flight have ended; until then the agent reports that it leaves.
+    closing: Drain,
     contending: Cell<bool>,
 }
 
@@ -208,9 +218,12 @@
             slots,
             ownership,
             owner,
+            gauges: Gauges::new(&metrics),
+            store: links.store,
             metrics,
             requests,
             drain: Drain::new(),
+            closing: Drain::new(),
             contending: Cell::new(false),
             settings,
         };
@@ -233,8 +246,8 @@
         let Self { shared, server } = self;
         let name = &*shared.settings.common.name;
         info!(process = name, address:% = shared.address; "agent started");
-        let closing = Drain::new();
-        let served = compio::runtime::spawn(server.serve(Rc::clone(&shared), closing.clone()));
+        let served =
+            compio::runtime::spawn(server.serve(Rc::clone(&shared), shared.closing.clone()));
         shared.spawn_duties();
         stop.started().await;
         info!(process = name; "agent is stopping");
@@ -247,9 +260,10 @@
         {
             warn!(process = name; "{error}");
         }
+        compio::time::sleep(LEAVE_NOTICE).await;
         bounded(limit, shared.slots.idle()).await;
         shared.gangs.shut_down();
-        closing.start();
+        shared.closing.start();
         bounded(limit, async {
             let _ = served.await;
         })
@@ -261,9 +275,10 @@
 impl Shared {
     fn spawn_duties(self: &Rc<Self>) {
         let shared = Rc::clone(self);
-        compio::runtime::spawn(async move { shared.sync.run(shared.drain.clone()).await }).detach();
+        compio::runtime::spawn(async move { shared.sync.run(shared.closing.clone()).await })
+            .detach();
         let shared = Rc::clone(self);
-        compio::runtime::spawn(async move { shared.membership.run(shared.drain.clone()).await })
+        compio::runtime::spawn(async move { shared.membership.run(shared.closing.clone()).await })
             .detach();
         let shared = Rc::clone(self);
         compio::runtime::spawn(async move { shared.owner.run(shared.drain.clone()).await })
@@ -294,7 +309,7 @@
         let mut sent_sequence = None;
         let mut last_sent: Option<Instant> = None;
         let mut failing = false;
-        while !self.drain.is_started() {
+        while !self.closing.is_started() {
             let sequence = self.gangs.report().sequence;
             let is_due = last_sent.is_none_or(|sent| sent.elapsed() >= REPORT_INTERVAL);
             if (is_due || sent_sequence != Some(sequence))
@@ -355,7 +370,7 @@
     /// Acts on what the view says about the owner's epoch and the relays, and keeps the payload fresh.
     async fn follow_view(self: &Rc<Self>) {
         let started = Instant::now();
-        while !self.drain.is_started() {
+        while !self.closing.is_started() {
             // Only a read made after this process started tells the lowest epoch that it may obey.
             if self
                 .view
@@ -365,7 +380,9 @@
             {
                 self.gangs.set_epoch_floor(row.epoch);
             }
-            self.contend();
+            if !self.drain.is_started() {
+                self.contend();
+            }
             self.sync
                 .set_payload(&encode(&self.payload()).unwrap_or_default());
             compio::time::sleep(CHANGE_POLL).await;
@@ -412,6 +429,13 @@
 impl Handler for Shared {
     async fn handle(self: Rc<Self>, request: Request) -> Response {
         self.requests.add(1, &[]);
+        if &*request.path == METRICS_PATH {
+            self.gauges.record_common(&self.view, &self.store);
+            self.gauges.record_slots(self.slots.counts());
+            if let Ok(summary) = self.owner.summary() {
+                self.gauges.record_owner(&summary);
+            }
+        }
         if let Some(response) = handle_health(&request, &self.view, &self.drain, &self.metrics) {
             return response;
         }
--- a/crates/node/src/common.rs
+++ b/crates/node/src/common.rs
@@ -17,6 +17,9 @@
 use nutmegwalk_store::StoreClient;
 use nutmegwalk_sync::View;
 
+/// Path under which the metrics are scraped.
+pub(crate) const METRICS_PATH: &str = "/metrics";
+
 /// Connections of one process.
 pub(crate) struct Links {
     pub(crate) client: Client,
@@ -53,7 +56,7 @@
             Some(Response::new(503, "the configuration is not known\n"))
         }
         "/healthz" => Some(Response::new(200, "ready\n")),
-        "/metrics" => Some(match metrics.to_text() {
+        METRICS_PATH => Some(match metrics.to_text() {
             Ok(text) => {
                 Response::new(200, text).with_header("content-type", "text/plain; version=0.0.4")
             }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::agent::AgentPayload;
 use crate::common::Links;
+use crate::common::METRICS_PATH;
 use crate::common::bounded;
 use crate::common::handle_health;
 use crate::entry::auth::Authenticator;
@@ -25,6 +26,7 @@
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::jobs::JobDesk;
 use crate::entry::operators::OperatorDesk;
+use crate::gauges::Gauges;
 use crate::job_table::JobTable;
 use crate::options::NodeOptions;
 use crate::settings::EntrySettings;
@@ -49,6 +51,7 @@
 use nutmegwalk_net::ServerLimits;
 use nutmegwalk_net::decode;
 use nutmegwalk_store::Duty;
+use nutmegwalk_store::StoreClient;
 use nutmegwalk_sync::Member;
 use nutmegwalk_sync::Membership;
 use nutmegwalk_sync::Payload;
@@ -67,6 +70,11 @@
 const MEMBERSHIP_POLL: Duration = Duration::from_millis(100);
 /// Deadline of a call to a service that is not configured; the call is then refused.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Time for which a stopping entry host still serves, with `/healthz` at 503 and each answer closing its
+/// connection, so that the balancer and callers leave before idle connections are closed.
+const LEAVE_NOTICE: Duration = Duration::from_secs(2);
+/// Time between two removals of claims that are past their lifetime.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Lease of the dispatcher's duty.
 const DISPATCH_DUTY: &str = "dispatch";
 
@@ -86,14 +94,20 @@
     sync_server: SyncServer,
     authenticator: Authenticator,
     router: Router,
+    claims: Claims,
     jobs: JobDesk,
     operators: OperatorDesk,
     data_centres: Rc<DataCentres>,
     dispatcher: Dispatcher,
     dispatch_lease: Rc<Ownership>,
     metrics: Metrics,
+    gauges: Gauges,
+    store: StoreClient,
     requests: Counter<u64>,
+    /// Starts with the planned stop.
     drain: Drain,
+    /// Starts when callers have been given time to leave.
+    closing: Drain,
 }
 
 impl Entry {
@@ -144,7 +158,7 @@
         );
         let router_settings =
             RouterSettings::new(common.data_centre.clone(), common.region.clone());
-        let router = Router::new(links.client.clone(), router_settings, Some(claims));
+        let router = Router::new(links.client.clone(), router_settings, Some(claims.clone()));
         let data_centres = Rc::new(DataCentres::new(view.clone(), links.client.clone()));
         let jobs = JobTable::new(acceptance.clone());
         let dispatch_lease = Rc::new(Ownership::new(
@@ -184,17 +198,21 @@
                 publisher: Publisher::new(acceptance.clone(), acceptance),
                 data_centres: Rc::clone(&data_centres),
             },
+            gauges: Gauges::new(&metrics),
+            store: links.store.clone(),
             requests: metrics.meter().u64_counter("nutmegwalk_requests").build(),
             view,
             membership,
             reader,
             peers,
             router,
+            claims,
             data_centres,
             dispatcher,
             dispatch_lease,
             metrics,
             drain: Drain::new(),
+            closing: Drain::new(),
             settings,
         };
         Ok(Self {
@@ -214,8 +232,8 @@
         let Self { shared, server } = self;
         let name = &*shared.settings.common.name;
         info!(process = name, address:% = shared.address; "entry host started");
-        let closing = Drain::new();
-        let served = compio::runtime::spawn(server.serve(Rc::clone(&shared), closing.clone()));
+        let served =
+            compio::runtime::spawn(server.serve(Rc::clone(&shared), shared.closing.clone()));
         shared.spawn_duties();
         stop.started().await;
         info!(process = name; "entry host is stopping");
@@ -224,7 +242,8 @@
         if let Err(error) = shared.dispatch_lease.release().await {
             warn!(process = name; "{error}");
         }
-        closing.start();
+        compio::time::sleep(LEAVE_NOTICE).await;
+        shared.closing.start();
         bounded(limit, async {
             let _ = served.await;
             shared.router.idle().await;
@@ -237,30 +256,50 @@
 impl Shared {
     fn spawn_duties(self: &Rc<Self>) {
         let shared = Rc::clone(self);
-        compio::runtime::spawn(async move { shared.reader.run(shared.drain.clone()).await })
+        compio::runtime::spawn(async move { shared.reader.run(shared.closing.clone()).await })
             .detach();
         let shared = Rc::clone(self);
-        compio::runtime::spawn(async move { shared.membership.run(shared.drain.clone()).await })
+        compio::runtime::spawn(async move { shared.membership.run(shared.closing.clone()).await })
             .detach();
         let shared = Rc::clone(self);
-        compio::runtime::spawn(async move { shared.peers.run_peers(shared.drain.clone()).await })
+        compio::runtime::spawn(async move { shared.peers.run_peers(shared.closing.clone()).await })
             .detach();
         let shared = Rc::clone(self);
-        compio::runtime::spawn(async move { shared.data_centres.run(shared.drain.clone()).await })
-            .detach();
+        compio::runtime::spawn(
+            async move { shared.data_centres.run(shared.closing.clone()).await },
+        )
+        .detach();
         let shared = Rc::clone(self);
         compio::runtime::spawn(async move { shared.dispatcher.run(shared.drain.clone()).await })
             .detach();
+        let shared = Rc::clone(self);
+        compio::runtime::spawn(async move { shared.sweep_claims().await }).detach();
         let lease = Rc::clone(&self.dispatch_lease);
         compio::runtime::spawn(async move { lease.run().await }).detach();
         let shared = Rc::clone(self);
         compio::runtime::spawn(async move { shared.follow_members().await }).detach();
     }
 
+    /// Removes claims that are past their lifetime, on the entry host that has the dispatcher's duty.
+    async fn sweep_claims(&self) {
+        while !self.drain.is_started() {
+            compio::time::sleep(SWEEP_INTERVAL).await;
+            if self.dispatch_lease.current().is_none() {
+                continue;
+            }
+            for customer in self.view.configuration().customers.keys() {
+                if let Err(error) = self.claims.remove_expired(customer).await {
+                    warn!(customer = &**customer; "cannot remove old claims: {error}");
+                    break;
+                }
+            }
+        }
+    }
+
     /// Keeps the router's servers and rates as the membership and the configuration say.
     async fn follow_members(&self) {
         let mut seen = None;
-        while !self.drain.is_started() {
+        while !self.closing.is_started() {
             let newest = (self.membership.revision(), self.view.version());
             if seen != Some(newest) {
                 seen = Some(newest);
@@ -305,6 +344,15 @@
         rates.collect()
     }
 
+    fn record_gauges(&self) {
+        self.gauges.record_common(&self.view, &self.store);
+        self.gauges.record_router(self.router.counts());
+        self.gauges.record_members(self.membership.alive().len());
+        for (customer, count_bytes) in self.router.cross_region_bytes() {
+            self.gauges.record_cross_region(&customer, count_bytes);
+        }
+    }
+
     async fn call(&self, request: &Request) -> Response {
         let call = self.authenticator.customer(request).and_then(|customer| {
             let configuration = self.view.configuration();
@@ -395,6 +443,9 @@
 
 impl Handler for Shared {
     async fn handle(self: Rc<Self>, request: Request) -> Response {
+        if &*request.path == METRICS_PATH {
+            self.record_gauges();
+        }
         if let Some(response) = handle_health(&request, &self.view, &self.drain, &self.metrics) {
             return response;
         }
@@ -408,6 +459,10 @@
             .and_then(|value| value.to_str().ok());
         let outcome = outcome.unwrap_or(Outcome::Done.name()).to_owned();
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        let response = match self.drain.is_started() {
+            true => response.with_header("connection", "close"),
+            false => response,
+        };
         log::debug!(request_id = &*request.request_id; "{} {} {}", request.method, request.path, response.status);
         response
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod common;
 mod duty_store;
 pub mod entry;
+mod gauges;
 pub mod job_table;
 pub mod jobs;
 mod options;
