Poll entry hosts of other regions only as the last resort

Cause: agents chose among all entry hosts by hashing, so regular polls crossed regions, which the users pay for by volume. Figures: the new test sees 8 of 8 agents on a near entry host, and on the far one only while both near ones are cut off. Conclusion: configuration and reports stay within the region as long as an entry host there answers.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -126,7 +126,7 @@
     /// Accelerators of the worker.
     #[arg(long, env = "NUTMEGWALK_ACCELERATORS")]
     pub accelerators: u32,
-    /// Addresses of the entry hosts.
+    /// Addresses of the entry hosts to use, those of the agent's region if it has any.
     #[arg(
         long = "entry",
         env = "NUTMEGWALK_ENTRIES",
@@ -134,6 +134,13 @@
         required = true
     )]
     pub entries: Vec<SocketAddr>,
+    /// Addresses of entry hosts of other regions, used only when none of the others answers.
+    #[arg(
+        long = "far-entry",
+        env = "NUTMEGWALK_FAR_ENTRIES",
+        value_delimiter = ','
+    )]
+    pub far_entries: Vec<SocketAddr>,
 }
 
 impl AgentSettings {
--- a/crates/scenarios/src/deployment/mod.rs
+++ b/crates/scenarios/src/deployment/mod.rs
@@ -250,6 +250,13 @@
     pub fn start_agent(&mut self, worker: &str) -> Result<()> {
         let site = self.site(worker)?.clone();
         let region = self.region(&site.data_centre);
+        let (mut entries, mut far_entries): (Vec<SocketAddr>, Vec<SocketAddr>) = self
+            .entry_addresses
+            .iter()
+            .partition(|entry| self.entry_region(**entry) == Some(&*region));
+        if entries.is_empty() {
+            std::mem::swap(&mut entries, &mut far_entries);
+        }
         let name: Box<str> = format!("agent-{worker}").into();
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = AgentSettings {
@@ -260,7 +267,8 @@
             cores: site.shape.cores,
             memory_mb: site.shape.memory_mb,
             accelerators: site.shape.accelerators,
-            entries: self.entry_addresses.clone(),
+            entries,
+            far_entries,
         };
         let options = self.options();
         let role = Role::spawn(name.clone(), move || Agent::bind(settings, options))?;
@@ -364,6 +372,17 @@
             })
     }
 
+    /// Returns the region of an entry host; they stand in the data centres in turn.
+    fn entry_region(&self, entry: SocketAddr) -> Option<&str> {
+        let index = self
+            .entry_addresses
+            .iter()
+            .position(|address| *address == entry)?;
+        let sites = &self.plan.configuration.data_centres;
+        let site = sites.values().nth(index % sites.len().max(1))?;
+        Some(&site.region)
+    }
+
     fn region(&self, data_centre: &str) -> Box<str> {
         self.plan
             .configuration
--- a/crates/sync/src/client.rs
+++ b/crates/sync/src/client.rs
@@ -125,6 +125,12 @@
         self.upstreams.borrow_mut().set_entries(entries);
     }
 
+    /// Replaces the list of entry hosts of other regions, which are polled only when nothing nearer
+    /// answers, because traffic between regions is paid for by volume.
+    pub fn set_far_entries(&self, entries: Vec<SocketAddr>) {
+        self.upstreams.borrow_mut().set_far_entries(entries);
+    }
+
     /// Replaces the payload of the report; an equal one is not sent again.
     pub fn set_payload(&self, payload: &[u8]) {
         let mut report = self.report.borrow_mut();
--- a/crates/sync/src/upstreams.rs
+++ b/crates/sync/src/upstreams.rs
@@ -23,6 +23,7 @@
 pub(crate) struct Upstreams {
     process: ProcessId,
     entries: Vec<SocketAddr>,
+    far_entries: Vec<SocketAddr>,
     current: Option<SocketAddr>,
     penalties: BTreeMap<SocketAddr, Penalty>,
 }
@@ -38,6 +39,7 @@
         Self {
             process,
             entries,
+            far_entries: Vec::new(),
             current: None,
             penalties: BTreeMap::new(),
         }
@@ -47,6 +49,10 @@
         self.entries = entries;
     }
 
+    pub(crate) fn set_far_entries(&mut self, entries: Vec<SocketAddr>) {
+        self.far_entries = entries;
+    }
+
     pub(crate) fn entries(&self) -> &[SocketAddr] {
         &self.entries
     }
@@ -55,15 +61,18 @@
         self.current
     }
 
-    /// Returns all upstreams: the best relays, entry hosts, then other relays, each by rendezvous
-    /// hashing; those that failed recently come last. A process that is a relay itself uses entry hosts only, so that relays
-    /// never wait for each other.
+    /// Returns all upstreams: the best relays, entry hosts, other relays, then entry hosts of other
+    /// regions, each by rendezvous hashing; those that failed recently come last. A process that is a
+    /// relay itself uses entry hosts only, so that relays never wait for each other.
     pub(crate) fn order(&self, relays: &[Peer], now: Instant) -> Vec<SocketAddr> {
         let is_relay = relays.iter().any(|relay| relay.process == self.process);
         let mut relays: Vec<&Peer> = relays.iter().filter(|_| !is_relay).collect();
         relays.sort_by_cached_key(|relay| Reverse(weight(&self.process, &relay.process)));
-        let mut entries = self.entries.clone();
-        entries.sort_by_cached_key(|entry| Reverse(weight(&self.process, &entry.to_string())));
+        let by_weight = |entries: &[SocketAddr]| {
+            let mut entries = entries.to_vec();
+            entries.sort_by_cached_key(|entry| Reverse(weight(&self.process, &entry.to_string())));
+            entries
+        };
         let failed = |address: &SocketAddr| {
             let penalty = self.penalties.get(address);
             penalty.is_some_and(|penalty| penalty.until > now)
@@ -71,8 +80,9 @@
         let mut order: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
         order.sort_by_key(failed);
         let others = order.split_off(RELAYS_FIRST.min(order.len()));
-        order.extend(entries);
+        order.extend(by_weight(&self.entries));
         order.extend(others);
+        order.extend(by_weight(&self.far_entries));
         order.sort_by_key(failed);
         order
     }
--- a/crates/sync/tests/sync.rs
+++ b/crates/sync/tests/sync.rs
@@ -193,6 +193,27 @@
         agent.client.poll_any().await.unwrap();
     }
 
+    // Guards against regular polls that cross regions, and against an agent that is lost although an entry
+    // host of another region answers.
+    far_entry_hosts_are_the_last_resort => {
+        let deployment = Deployment::new(timings()).await;
+        let near = [deployment.entry("one").await, deployment.entry("two").await];
+        let far = deployment.entry("far").await;
+        for number in 0..8 {
+            let addresses = near.iter().map(|entry| entry.address).collect();
+            let agent = start(&format!("agent-{number}"), Role::Agent, addresses, timings(), &deployment.cuts).await;
+            agent.client.set_far_entries(vec![far.address]);
+            agent.client.poll_any().await.unwrap();
+            assert_ne!(agent.client.upstream(), Some(far.address));
+            for entry in &near {
+                deployment.cuts.cut.lock().unwrap().push(entry.address);
+            }
+            agent.client.poll_any().await.unwrap();
+            assert_eq!(agent.client.upstream(), Some(far.address));
+            deployment.heal();
+        }
+    }
+
     // Guards against a cut-off relay whose agents go on trusting it.
     cut_off_upstream_ages_and_permission_lapses => {
         let timings = SyncTimings { permission_age: Duration::from_secs(1), ..timings() };
