--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -351,6 +351,11 @@
         owner.tasks.borrow_mut().clear();
     }
 
+    /// Leaves an owner running without renewals of its lease.
+    pub fn stop_renewals(&self, owner: &Owner) {
+        owner.tasks.borrow_mut().truncate(2);
+    }
+
     pub async fn submit(&self, id: &str, tasks: u32, accelerators: u32) {
         self.jobs
             .accept(&record(id, tasks, accelerators))
