Run scenario files and judge their invariants

Only the fixed sample load of dev judged the product as a whole. Scenario files now describe deployment, seeded load, steps and expectations; the runner carries them out on loopback and judges twelve invariants from the event log, the answers and the committed changes.

Before: no runner.

The time for which a data centre is out begins with the look at the table that saw the commit and ends with the last look before the return was seen, so a slow machine cannot make a start look forbidden.

--- a/crates/scenarios/src/deployment/backend.rs
+++ b/crates/scenarios/src/deployment/backend.rs
@@ -1,5 +1,6 @@
 //! Backend server stand-in.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 
 use crate::deployment::role::Bound;
@@ -29,8 +31,36 @@
 /// Time for one announcement.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bodies of the calls that ran on any backend server, in order.
-pub type Executions = Arc<Mutex<Vec<Box<str>>>>;
+/// Header by which a caller names one send of a call; it is passed on to the backend server.
+pub const SEND_HEADER: &str = "x-send";
+
+/// A call that ran on a backend server.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// Backend server.
+    pub backend: Box<str>,
+    /// Send that the call came from, if the caller named it.
+    pub send: Option<Box<str>>,
+    /// Body of the call.
+    pub body: Box<str>,
+}
+
+/// Calls that ran on any backend server, in order.
+pub type Executions = Arc<Mutex<Vec<Execution>>>;
+
+/// Faults of one backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BackendFaults {
+    /// Time for each call in place of the deployment's.
+    pub service_time: Option<Duration>,
+    /// Every call is answered with status 500.
+    pub fails: bool,
+    /// Answers carry the id and the body of the call before.
+    pub mixes_answers: bool,
+}
+
+/// Faults that a backend server shares with the deployment, which changes them.
+pub(crate) type SharedFaults = Arc<Mutex<BackendFaults>>;
 
 /// What a backend server is started with.
 pub(crate) struct BackendPlan {
@@ -42,6 +72,7 @@
     pub(crate) secret: Secret,
     pub(crate) executions: Executions,
     pub(crate) service_time: Duration,
+    pub(crate) faults: SharedFaults,
 }
 
 /// A backend server that answers each call with its body after a fixed time.
@@ -54,8 +85,11 @@
 }
 
 struct EchoHandler {
+    name: Box<str>,
     executions: Executions,
     service_time: Duration,
+    faults: SharedFaults,
+    last: RefCell<Option<(Box<str>, Bytes)>>,
 }
 
 impl Handler for EchoHandler {
@@ -64,8 +98,22 @@
         self.executions
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .push(body);
-        compio::time::sleep(self.service_time).await;
+            .push(Execution {
+                backend: self.name.clone(),
+                send: request.header(SEND_HEADER).map(Into::into),
+                body,
+            });
+        let faults = *self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        compio::time::sleep(faults.service_time.unwrap_or(self.service_time)).await;
+        let own = (request.request_id.clone(), request.body.clone());
+        let before = self.last.replace(Some(own));
+        if faults.fails {
+            return Response::new(500, "the server fails")
+                .with_header(REQUEST_ID_HEADER, &request.request_id);
+        }
+        if let Some((id, body)) = before.filter(|_| faults.mixes_answers) {
+            return Response::new(200, body).with_header(REQUEST_ID_HEADER, &id);
+        }
         // The agent passes an answer on only if it names the request that it belongs to.
         Response::new(200, request.body).with_header(REQUEST_ID_HEADER, &request.request_id)
     }
@@ -83,6 +131,7 @@
             secret,
             executions,
             service_time,
+            faults,
         } = plan;
         let server = Server::bind(
             SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -100,8 +149,11 @@
         Ok(Self {
             server,
             handler: Rc::new(EchoHandler {
+                name: name.clone(),
                 executions,
                 service_time,
+                faults,
+                last: RefCell::default(),
             }),
             client: Client::new(name, secret)?,
             agent,
--- a/crates/scenarios/src/deployment/mod.rs
+++ b/crates/scenarios/src/deployment/mod.rs
@@ -9,12 +9,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use log::LevelFilter;
 
 use crate::deployment::backend::Backend;
 use crate::deployment::backend::BackendPlan;
+use crate::deployment::backend::SharedFaults;
 use crate::deployment::role::Bound;
 use crate::platform::Platform;
 use crate::platform::WorkerSize;
@@ -36,7 +38,10 @@
 use nutmegwalk_node::settings::CommonSettings;
 use nutmegwalk_node::settings::EntrySettings;
 
+pub use backend::BackendFaults;
+pub use backend::Execution;
 pub use backend::Executions;
+pub use backend::SEND_HEADER;
 pub use links::Links;
 pub use operator::ApiClient;
 pub use role::Role;
@@ -127,6 +132,7 @@
     entries: BTreeMap<Box<str>, Role>,
     agents: BTreeMap<WorkerId, Role>,
     backends: BTreeMap<WorkerId, Role>,
+    backend_faults: BTreeMap<WorkerId, SharedFaults>,
     entry_addresses: Vec<SocketAddr>,
 }
 
@@ -145,6 +151,7 @@
             entries: BTreeMap::new(),
             agents: BTreeMap::new(),
             backends: BTreeMap::new(),
+            backend_faults: BTreeMap::new(),
             entry_addresses: Vec::new(),
             plan,
         };
@@ -294,6 +301,7 @@
             secret: Secret::new(SECRET),
             executions: Arc::clone(&self.executions),
             service_time: self.plan.service_time,
+            faults: Arc::clone(self.backend_faults.entry(worker.into()).or_default()),
         };
         let role = Role::spawn(name, move || Backend::bind(plan))?;
         self.backends.insert(worker.into(), role);
@@ -315,6 +323,13 @@
         self.backends.remove(worker)
     }
 
+    /// Changes the faults of the backend server beside `worker`, also over its restarts.
+    pub fn set_backend_faults(&self, worker: &str, change: impl FnOnce(&mut BackendFaults)) {
+        if let Some(faults) = self.backend_faults.get(worker) {
+            change(&mut faults.lock().unwrap_or_else(PoisonError::into_inner));
+        }
+    }
+
     /// Returns the running entry host with this index.
     #[must_use]
     pub fn entry(&self, index: usize) -> Option<&Role> {
--- a/crates/scenarios/src/deployment/operator.rs
+++ b/crates/scenarios/src/deployment/operator.rs
@@ -53,6 +53,14 @@
         self
     }
 
+    /// Asks the entry host with this index only.
+    #[must_use]
+    pub fn with_only_entry(mut self, index: usize) -> Self {
+        self = self.with_first_entry(index);
+        self.entries.truncate(1);
+        self
+    }
+
     /// Sends a request and returns the response of the first entry host that can be reached.
     ///
     /// # Errors
@@ -94,12 +102,7 @@
         body: Vec<u8>,
     ) -> Result<T> {
         let response = self.raw(method, path, &[], body.into()).await?;
-        let malformed =
-            |error: serde_json::Error| Error::new(ErrorKind::UnknownOutcome, error.to_string());
-        if response.status == 200 {
-            return serde_json::from_slice(&response.body).map_err(malformed);
-        }
-        Err(serde_json::from_slice(&response.body).map_err(malformed)?)
+        decode(&response)
     }
 
     async fn post<B: Serialize, T: DeserializeOwned>(&self, path: &str, body: &B) -> Result<T> {
@@ -177,6 +180,19 @@
         self.post("/v1/jobs", job).await
     }
 
+    /// Submits a job under a key, so that it can be submitted again without becoming two jobs.
+    ///
+    /// # Errors
+    /// Those of the entry host.
+    pub async fn submit_once(&self, key: &str, job: &JobRequest) -> Result<Submitted> {
+        let body = serde_json::to_vec(job).unwrap_or_default();
+        let headers = [("nutmegwalk-key", key)];
+        let response = self
+            .raw(Method::POST, "/v1/jobs", &headers, body.into())
+            .await?;
+        decode(&response)
+    }
+
     /// Returns the state of a job.
     ///
     /// # Errors
@@ -241,3 +257,12 @@
         None
     }
 }
+
+fn decode<T: DeserializeOwned>(response: &Response) -> Result<T> {
+    let malformed =
+        |error: serde_json::Error| Error::new(ErrorKind::UnknownOutcome, error.to_string());
+    if response.status == 200 {
+        return serde_json::from_slice(&response.body).map_err(malformed);
+    }
+    Err(serde_json::from_slice(&response.body).map_err(malformed)?)
+}
--- a/crates/scenarios/src/dev.rs
+++ b/crates/scenarios/src/dev.rs
@@ -16,6 +16,7 @@
 use crate::deployment::ApiClient;
 use crate::deployment::BOOTSTRAP_TOKEN;
 use crate::deployment::Deployment;
+use crate::deployment::Execution;
 use crate::measures::Measures;
 use crate::measures::accelerator_seconds;
 use crate::measures::percentile;
@@ -129,11 +130,14 @@
     let (mut all, mut urgent) = (completion.all, urgent_starts(&events, &jobs));
     measures.completion_p50_s = percentile(&mut all, 0.5);
     measures.completion_p99_s = percentile(&mut all, 0.99);
-    measures.figures.insert("jobs", jobs.len() as f64);
+    measures.figures.insert("jobs".into(), jobs.len() as f64);
+    measures.figures.insert(
+        "guaranteed_start_max_s".into(),
+        percentile(&mut urgent, 1.0),
+    );
     measures
         .figures
-        .insert("guaranteed_start_max_s", percentile(&mut urgent, 1.0));
-    measures.figures.insert("audit_records", audit.len() as f64);
+        .insert("audit_records".into(), audit.len() as f64);
     let invariants = &mut measures.invariants;
     invariants.insert("guarantees_reclaimable", violations);
     invariants.insert(
@@ -155,7 +159,7 @@
 }
 
 /// Publishes the plan's configuration and returns a client with the token of its first operator.
-async fn publish(deployment: &Deployment) -> Result<ApiClient> {
+pub(crate) async fn publish(deployment: &Deployment) -> Result<ApiClient> {
     let configuration = &deployment.plan().configuration;
     let started = Instant::now();
     let bootstrap = deployment.api(BOOTSTRAP_TOKEN)?;
@@ -181,7 +185,7 @@
 }
 
 /// Waits until each data centre has an owner that knows all workers and each agent has the configuration.
-async fn wait_until_ready(deployment: &Deployment, operator: &ApiClient) -> Result<()> {
+pub(crate) async fn wait_until_ready(deployment: &Deployment, operator: &ApiClient) -> Result<()> {
     let workers = deployment.sites().len();
     let ready = |status: &Status| {
         let known: u32 = status
@@ -202,7 +206,7 @@
     ))
 }
 
-fn service_of(configuration: &Configuration) -> Result<ServiceId> {
+pub(crate) fn service_of(configuration: &Configuration) -> Result<ServiceId> {
     let service = configuration.services.keys().next().cloned();
     service.ok_or_else(|| Error::new(ErrorKind::InvalidConfiguration, "there is no service"))
 }
@@ -334,7 +338,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
     let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
-    for body in executions.iter() {
+    for Execution { body, .. } in executions.iter() {
         let number = body
             .rsplit('/')
             .next()
@@ -414,7 +418,7 @@
         .sum()
 }
 
-fn mean(values: &[f64]) -> f64 {
+pub(crate) fn mean(values: &[f64]) -> f64 {
     if values.is_empty() {
         0.0
     } else {
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod dev;
 pub mod measures;
 pub mod platform;
+pub mod runner;
+pub mod script;
--- a/crates/scenarios/src/main.rs
+++ b/crates/scenarios/src/main.rs
@@ -1,3 +1,120 @@
-//! Runs scenario files.
+//! Runs scenario files, compares placement policies, and runs the platform stand-in by itself.
 
-fn main() {}
+mod compare;
+mod report;
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use clap::Parser;
+use clap::Subcommand;
+use clap::ValueEnum;
+use log::LevelFilter;
+
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_fleet::Policy;
+use nutmegwalk_scenarios::runner;
+use nutmegwalk_scenarios::script;
+
+/// Exit code of a run with a violated invariant.
+const VIOLATED: u8 = 1;
+
+/// Runs scenarios against the product on loopback.
+#[derive(Debug, Parser)]
+#[command(name = "nutmegwalk-scenarios", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a scenario and judges its invariants.
+    Run {
+        /// Scenario file.
+        file: PathBuf,
+        /// Seed of the load; by default that of the file.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Prints the measures as one JSON object in the last line.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Runs the same load with the default policy and with a baseline.
+    Compare {
+        /// Scenario file.
+        file: PathBuf,
+        /// Baseline policy.
+        #[arg(long)]
+        baseline: Baseline,
+        /// Seed of the load; by default that of the file.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+}
+
+/// Baseline placement policies.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Baseline {
+    /// Arrival order, first workers with room, no reclaim.
+    FirstFit,
+    /// Each customer keeps its own part.
+    Static,
+}
+
+impl From<Baseline> for Policy {
+    fn from(baseline: Baseline) -> Self {
+        match baseline {
+            Baseline::FirstFit => Self::FirstFit,
+            Baseline::Static => Self::Static,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match execute(Cli::parse()) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(VIOLATED),
+        Err(error) => {
+            eprintln!("nutmegwalk-scenarios: {error}");
+            ExitCode::from(error.kind.exit_code())
+        }
+    }
+}
+
+/// Carries out a command and returns the number of violations.
+fn execute(cli: Cli) -> Result<u64> {
+    let level = std::env::var("NUTMEGWALK_LOG_LEVEL")
+        .ok()
+        .and_then(|level| level.parse().ok());
+    nutmegwalk_base::logging::start(level.unwrap_or(LevelFilter::Off))?;
+    let runtime = compio::runtime::Runtime::new()
+        .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
+    match cli.command {
+        Command::Run { file, seed, json } => {
+            let scenario = script::load(&file, Path::new("."))?;
+            let seed = seed.unwrap_or(scenario.seed);
+            let result = runtime.block_on(runner::run(Rc::new(scenario), seed))?;
+            report::print(&result, json);
+            Ok(result.measures.violations())
+        }
+        Command::Compare {
+            file,
+            baseline,
+            seed,
+        } => {
+            let scenario = script::load(&file, Path::new("."))?;
+            let seed = seed.unwrap_or(scenario.seed);
+            let mut other = scenario.clone();
+            other.deployment.policy = baseline.into();
+            let own = runtime.block_on(runner::run(Rc::new(scenario), seed))?;
+            let other = runtime.block_on(runner::run(Rc::new(other), seed))?;
+            compare::print(&own.measures, &other.measures);
+            Ok(own.measures.violations())
+        }
+    }
+}
--- a/crates/scenarios/src/measures.rs
+++ b/crates/scenarios/src/measures.rs
@@ -31,7 +31,7 @@
     pub work_during_take_out_ratio: f64,
     /// Further figures of the scenario.
     #[serde(flatten)]
-    pub figures: BTreeMap<&'static str, f64>,
+    pub figures: BTreeMap<Box<str>, f64>,
 }
 
 impl Measures {
@@ -40,6 +40,38 @@
     pub fn violations(&self) -> u64 {
         self.invariants.values().sum()
     }
+
+    /// Returns all figures with their names.
+    #[must_use]
+    pub fn all_figures(&self) -> Vec<(Box<str>, f64)> {
+        let first = [
+            ("completion_p50_s", self.completion_p50_s),
+            ("completion_p99_s", self.completion_p99_s),
+            ("fragmentation_ratio", self.fragmentation_ratio),
+            (
+                "work_during_take_out_ratio",
+                self.work_during_take_out_ratio,
+            ),
+        ];
+        let first = first.map(|(name, value)| (name.into(), value));
+        let others = self
+            .figures
+            .iter()
+            .map(|(name, value)| (name.clone(), *value));
+        first.into_iter().chain(others).collect()
+    }
+
+    /// Returns the figure with this name.
+    #[must_use]
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        match name {
+            "completion_p50_s" => Some(self.completion_p50_s),
+            "completion_p99_s" => Some(self.completion_p99_s),
+            "fragmentation_ratio" => Some(self.fragmentation_ratio),
+            "work_during_take_out_ratio" => Some(self.work_during_take_out_ratio),
+            _ => self.figures.get(name).copied(),
+        }
+    }
 }
 
 /// Returns the value below which `share` of the sorted values lie; zero without values.
--- /dev/null
+++ b/crates/scenarios/src/runner/calls.rs
@@ -0,0 +1,228 @@
+//! The calls of a scenario: planned from the seed, sent at their times whatever came before.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use http::HeaderValue;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::deployment::SEND_HEADER;
+use crate::dev::example_token;
+use crate::dev::service_of;
+use crate::runner::Run;
+use crate::script::CallLoad;
+use crate::script::Scenario;
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
+use nutmegwalk_base::Result;
+use nutmegwalk_calls::DEADLINE_HEADER;
+use nutmegwalk_calls::KEY_HEADER;
+use nutmegwalk_calls::OUTCOME_HEADER;
+use nutmegwalk_calls::REPEAT_HEADER;
+use nutmegwalk_net::Response;
+
+/// Time that a caller waits beyond the deadline of its call.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// How a call is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Mark {
+    Unmarked,
+    Repeatable,
+    Never,
+}
+
+/// What a caller got for one send.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Answer {
+    /// The caller's own body.
+    Own,
+    /// Another body with success.
+    Wrong(String),
+    /// An answer of the backend server without success.
+    Failed(u16),
+    /// A refusal that says "not run".
+    NotRun(String),
+    /// Nobody can tell whether the call ran.
+    Unknown(String),
+}
+
+/// One send of a call.
+#[derive(Clone, Debug)]
+pub(crate) struct Send {
+    pub(crate) id: Box<str>,
+    /// Time of the send from the start of the load.
+    pub(crate) sent: Duration,
+    pub(crate) took: Option<Duration>,
+    pub(crate) answer: Option<Answer>,
+}
+
+/// One call of the load with all its sends.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRun {
+    pub(crate) customer: CustomerId,
+    pub(crate) body: Box<str>,
+    pub(crate) mark: Mark,
+    pub(crate) deadline_ms: u64,
+    pub(crate) sends: Vec<Send>,
+}
+
+/// Plans all calls of a scenario.
+pub(crate) fn plan(scenario: &Scenario, seed: u64) -> Result<Vec<CallRun>> {
+    let mut calls = Vec::new();
+    if scenario.calls.is_empty() {
+        return Ok(calls);
+    }
+    service_of(&scenario.configuration)?;
+    let customers: Vec<&CustomerId> = scenario.configuration.customers.keys().collect();
+    for (group, load) in scenario.calls.iter().enumerate() {
+        let mut random = StdRng::seed_from_u64(seed.wrapping_mul(2003).wrapping_add(group as u64));
+        let mut turn = customers.iter().cycle();
+        for number in 0..call_count(load) {
+            let next = turn.next().copied();
+            let Some(customer) = load.customer.as_ref().or(next) else {
+                return Err(Error::new(
+                    ErrorKind::InvalidConfiguration,
+                    "there is no customer",
+                ));
+            };
+            calls.push(call(
+                load,
+                customer,
+                &format!("{group}-{number}"),
+                &mut random,
+            ));
+        }
+    }
+    Ok(calls)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+fn call_count(load: &CallLoad) -> u64 {
+    (load.per_second * load.over_ms as f64 / 1000.0).round() as u64
+}
+
+fn call(load: &CallLoad, customer: &CustomerId, name: &str, random: &mut StdRng) -> CallRun {
+    let at = Duration::from_millis(load.at_ms + random.random_range(0..=load.over_ms));
+    let kind: f64 = random.random();
+    let mark = if kind < load.never_share {
+        Mark::Never
+    } else if kind < load.never_share + load.repeatable_share {
+        Mark::Repeatable
+    } else {
+        Mark::Unmarked
+    };
+    let sends = if mark == Mark::Never { load.sends } else { 1 };
+    let resend = Duration::from_millis(load.resend_ms);
+    let mut body = format!("{customer}/{name}/");
+    while body.len() < load.body_bytes {
+        body.push(char::from(random.random_range(b'a'..=b'z')));
+    }
+    CallRun {
+        customer: customer.clone(),
+        body: body.into(),
+        mark,
+        deadline_ms: load.deadline_ms,
+        sends: (0..sends)
+            .map(|send| Send {
+                id: format!("{name}.{send}").into(),
+                sent: at + resend * send,
+                took: None,
+                answer: None,
+            })
+            .collect(),
+    }
+}
+
+impl Run {
+    /// Sends each call at its time.
+    pub(crate) fn spawn_calls(self: &Rc<Self>) {
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let count = self.calls.borrow().len();
+        for index in 0..count {
+            let key = format!("{}-{}-{index}", unix.as_millis(), self.seed);
+            let sends = self.calls.borrow()[index].sends.len();
+            for send in 0..sends {
+                let (run, key) = (Rc::clone(self), key.clone());
+                compio::runtime::spawn(async move { run.send(index, send, &key).await }).detach();
+            }
+        }
+    }
+
+    async fn send(&self, index: usize, send: usize, key: &str) {
+        let call = self.calls.borrow()[index].clone();
+        let id = call.sends[send].id.clone();
+        self.sleep_until(call.sends[send].sent).await;
+        let api = self.deployment.borrow().api(&example_token(&call.customer));
+        let Ok(api) = api else { return };
+        // Repeats go through other entry hosts.
+        let api = api.with_first_entry(index + send);
+        let Ok(service) = service_of(&self.scenario.configuration) else {
+            return;
+        };
+        let deadline = call.deadline_ms.to_string();
+        let mut headers = vec![(DEADLINE_HEADER, &*deadline), (SEND_HEADER, &*id)];
+        match call.mark {
+            Mark::Unmarked => {}
+            Mark::Repeatable => headers.push((REPEAT_HEADER, "always")),
+            Mark::Never => headers.extend([(REPEAT_HEADER, "never"), (KEY_HEADER, key)]),
+        }
+        let sent = self.started.elapsed();
+        let body = call.body.as_bytes().to_vec();
+        let limit = Duration::from_millis(call.deadline_ms) + PATIENCE;
+        let response =
+            compio::time::timeout(limit, api.call(&service, &headers, body.into())).await;
+        let answer = match response {
+            Ok(Ok(response)) => judge(&response, &call.body),
+            Ok(Err(error)) if error.outcome() == Outcome::NotRun => {
+                Answer::NotRun(error.to_string())
+            }
+            Ok(Err(error)) => Answer::Unknown(error.to_string()),
+            Err(_) => Answer::Unknown("no answer in time".into()),
+        };
+        let mut calls = self.calls.borrow_mut();
+        let record = &mut calls[index].sends[send];
+        record.sent = sent;
+        record.took = Some(self.started.elapsed().saturating_sub(sent));
+        record.answer = Some(answer);
+    }
+}
+
+fn judge(response: &Response, body: &str) -> Answer {
+    let outcome = response
+        .headers
+        .get(OUTCOME_HEADER)
+        .map(HeaderValue::as_bytes)
+        .and_then(|name| Outcome::from_name(std::str::from_utf8(name).ok()?));
+    let text = || {
+        format!(
+            "{}: {}",
+            response.status,
+            String::from_utf8_lossy(&response.body)
+        )
+    };
+    match outcome {
+        Some(Outcome::NotRun) => Answer::NotRun(text()),
+        Some(Outcome::Unknown) => Answer::Unknown(text()),
+        Some(Outcome::Done) | None if response.status == 200 => {
+            if response.body == body.as_bytes() {
+                Answer::Own
+            } else {
+                Answer::Wrong(text())
+            }
+        }
+        Some(Outcome::Done) | None => Answer::Failed(response.status),
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/runner/jobs.rs
@@ -0,0 +1,160 @@
+//! The jobs of a scenario: planned from the seed, submitted by key until accepted or refused.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::dev::example_token;
+use crate::dev::service_of;
+use crate::runner::GRACE;
+use crate::runner::Run;
+use crate::script::JobLoad;
+use crate::script::Scenario;
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::ServiceId;
+use nutmegwalk_config::WorkerShape;
+use nutmegwalk_node::jobs::JobRequest;
+
+/// Time between two submissions of a job that was not accepted.
+const RESUBMIT_AFTER: Duration = Duration::from_millis(250);
+/// Time for one submission, after which it is repeated under its key.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// One job of the load.
+#[derive(Clone, Debug)]
+pub(crate) struct JobRun {
+    pub(crate) customer: CustomerId,
+    pub(crate) request: JobRequest,
+    pub(crate) arrival: Duration,
+    /// Id, when the job is accepted.
+    pub(crate) id: Option<JobId>,
+    /// Time of acceptance on the platform's clock.
+    pub(crate) accepted_at: Option<Duration>,
+    /// Why the job was refused for good.
+    pub(crate) refusal: Option<Error>,
+    /// Submissions that were not accepted.
+    pub(crate) repeats: u64,
+    pub(crate) borrowed: bool,
+}
+
+/// Plans all jobs of a scenario in order of arrival.
+pub(crate) fn plan(scenario: &Scenario, seed: u64) -> Result<Vec<JobRun>> {
+    let mut jobs = Vec::new();
+    if scenario.jobs.is_empty() {
+        return Ok(jobs);
+    }
+    let service = service_of(&scenario.configuration)?;
+    let customers: Vec<&CustomerId> = scenario.configuration.customers.keys().collect();
+    for (group, load) in (0_u64..).zip(&scenario.jobs) {
+        // Each group has a sequence of its own, so that changes of one group leave the others as they are.
+        let mut random = StdRng::seed_from_u64(seed.wrapping_mul(1009).wrapping_add(group));
+        let mut turn = customers.iter().cycle();
+        for _ in 0..load.count {
+            let next = turn.next().copied();
+            let Some(customer) = load.customer.as_ref().or(next) else {
+                return Err(Error::new(
+                    ErrorKind::InvalidConfiguration,
+                    "there is no customer",
+                ));
+            };
+            jobs.push(job(load, customer, &service, &mut random));
+        }
+    }
+    jobs.sort_by_key(|job| job.arrival);
+    Ok(jobs)
+}
+
+fn job(load: &JobLoad, customer: &CustomerId, service: &ServiceId, random: &mut StdRng) -> JobRun {
+    let arrival_ms = load.at_ms + random.random_range(0..=load.over_ms);
+    let work_ms = load.work_ms.draw(random);
+    let mut payload = format!("{{\"work_ms\":{work_ms},\"fail\":{}", load.fails);
+    if let Some(percent) = load.used_memory_percent {
+        payload += &format!(",\"memory_mb\":{}", load.memory_mb * percent / 100);
+    }
+    payload.push('}');
+    let small = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+    JobRun {
+        customer: customer.clone(),
+        request: JobRequest {
+            service: service.clone(),
+            tasks: small(load.tasks.draw(random)),
+            shape: WorkerShape {
+                cores: load.cores,
+                memory_mb: load.memory_mb,
+                accelerators: small(load.accelerators.draw(random)),
+            },
+            adjacency: load.adjacency,
+            guarantee: load.guarantee.clone(),
+            declared_run_ms: Some(work_ms * load.declared_percent.draw(random) / 100),
+            payload: payload.into(),
+        },
+        arrival: Duration::from_millis(arrival_ms),
+        id: None,
+        accepted_at: None,
+        refusal: None,
+        repeats: 0,
+        borrowed: load.guarantee.is_none(),
+    }
+}
+
+impl Run {
+    /// Submits each job at its time.
+    pub(crate) fn spawn_jobs(self: &Rc<Self>) {
+        let count = self.jobs.borrow().len();
+        for index in 0..count {
+            let run = Rc::clone(self);
+            compio::runtime::spawn(async move { run.submit(index).await }).detach();
+        }
+    }
+
+    async fn submit(&self, index: usize) {
+        let job = self.jobs.borrow()[index].clone();
+        self.sleep_until(job.arrival).await;
+        let api = self.deployment.borrow().api(&example_token(&job.customer));
+        let Ok(api) = api else { return };
+        let key = format!("{}-{index}", self.seed);
+        let mut turn = index;
+        while !self.ended.get() && self.started.elapsed() < self.scenario.limit + GRACE {
+            let api = api.clone().with_first_entry(turn);
+            let submitted =
+                compio::time::timeout(SUBMIT_TIMEOUT, api.submit_once(&key, &job.request)).await;
+            let now = self.deployment.borrow().platform.now();
+            let error = match submitted {
+                Ok(Ok(submitted)) => {
+                    let mut jobs = self.jobs.borrow_mut();
+                    jobs[index].id = Some(submitted.job);
+                    jobs[index].accepted_at = Some(now);
+                    return;
+                }
+                Ok(Err(error)) => error,
+                Err(_) => Error::new(ErrorKind::UnknownOutcome, "no answer in time"),
+            };
+            info!(job = index; "the submission was not accepted: {error}");
+            let is_final = matches!(
+                error.kind,
+                ErrorKind::BadRequest
+                    | ErrorKind::NeverFits
+                    | ErrorKind::NotFound
+                    | ErrorKind::KeyReused
+            );
+            {
+                let mut jobs = self.jobs.borrow_mut();
+                jobs[index].repeats += 1;
+                if is_final {
+                    jobs[index].refusal = Some(error);
+                    return;
+                }
+            }
+            turn += 1;
+            compio::time::sleep(RESUBMIT_AFTER).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/runner/operate.rs
@@ -0,0 +1,109 @@
+//! Operators' commands of steps.
+
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use log::info;
+
+use crate::deployment::ApiClient;
+use crate::runner::Run;
+use nutmegwalk_base::ConfigVersion;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::Result;
+use nutmegwalk_config::Configuration;
+
+/// Answer to a command of an operator.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorAnswer {
+    pub(crate) command: Box<str>,
+    pub(crate) result: Result<ConfigVersion, Error>,
+    /// For a race: number of commands that were sent on the same version.
+    pub(crate) race: Option<u64>,
+}
+
+impl Run {
+    /// Carries out a command without holding up the steps behind it.
+    fn spawn_command<F: Future<Output = Result<ConfigVersion>> + 'static>(
+        self: &Rc<Self>,
+        command: String,
+        race: Option<u64>,
+        sent: F,
+    ) {
+        self.operators_busy.set(self.operators_busy.get() + 1);
+        let run = Rc::clone(self);
+        compio::runtime::spawn(async move {
+            let result = sent.await;
+            info!("{command}: {result:?}");
+            run.operator_answers.borrow_mut().push(OperatorAnswer {
+                command: command.into(),
+                result,
+                race,
+            });
+            run.operators_busy.set(run.operators_busy.get() - 1);
+        })
+        .detach();
+    }
+
+    fn entry(&self, index: usize) -> ApiClient {
+        self.operator.clone().with_first_entry(index)
+    }
+
+    pub(crate) fn take_out(self: &Rc<Self>, data_centre: &str, entry: usize) {
+        let (api, name) = (self.entry(entry), data_centre.to_owned());
+        let command = format!("take-out {name}");
+        self.spawn_command(command, None, async move {
+            Ok(api.take_out(&name).await?.version)
+        });
+    }
+
+    pub(crate) fn return_to_service(self: &Rc<Self>, data_centre: &str) {
+        let (api, name) = (self.entry(0), data_centre.to_owned());
+        let command = format!("return {name}");
+        self.spawn_command(command, None, async move {
+            Ok(api.return_to_service(&name).await?.version)
+        });
+    }
+
+    /// Publishes different changes on top of the same version through all entry hosts at once.
+    pub(crate) fn publish_race(self: &Rc<Self>, operators: usize) {
+        let based_on = self.table().version();
+        for index in 0..operators {
+            let mut configuration: Configuration = self.scenario.configuration.clone();
+            for service in configuration.services.values_mut() {
+                // Each operator asks for a value that no other one and no version before has.
+                service.deadline_ms += based_on * 100 + 1 + index as u64;
+            }
+            let api = self.entry(index);
+            self.spawn_command(
+                format!("publish on {based_on}"),
+                Some(based_on),
+                async move { Ok(api.publish(&configuration, based_on).await?.version) },
+            );
+        }
+    }
+
+    /// Takes a data centre out through all entry hosts while others publish.
+    pub(crate) fn take_out_race(self: &Rc<Self>, data_centre: &str) {
+        for entry in 0..self.scenario.deployment.entries {
+            self.take_out(data_centre, entry);
+        }
+        self.publish_race(self.scenario.deployment.entries);
+    }
+
+    /// Cancels every job that is accepted and has not ended.
+    pub(crate) async fn cancel_all(&self) {
+        let open = self
+            .records()
+            .into_iter()
+            .filter(|job| !job.state.is_final());
+        let cancels = open.enumerate().map(|(index, job)| {
+            let api = self.entry(index);
+            async move {
+                if let Err(error) = api.cancel(&job.id).await {
+                    info!(job = &*job.id; "the cancellation failed: {error}");
+                }
+            }
+        });
+        join_all(cancels).await;
+    }
+}
