Add the measurement of the slopes behind the capacity page

Change: the example `slopes` starts deployments of several sizes over loopback and fits straight lines through processor time, memory, bytes and store requests, part by part.

--- /dev/null
+++ b/crates/scenarios/examples/slopes/agents.rs
@@ -0,0 +1,198 @@
+//! Agents: idle, with configuration changes and with running tasks; time until a version is in force.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::bench::Bench;
+use crate::bench::job;
+use crate::probe::PROBE_TASK;
+use crate::probe::Probe;
+use crate::report::Output;
+use crate::system::loads_of;
+use crate::system::median;
+use crate::system::resident_mb;
+use crate::system::thread_load;
+use nutmegwalk_base::Result;
+use nutmegwalk_node::jobs::JobRequest;
+use nutmegwalk_scenarios::measures::percentile;
+
+/// Time over which loads are measured.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time for relays and connections to settle.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Work of tasks that are to run throughout.
+const LONG: Duration = Duration::from_secs(3600);
+/// Changes whose time to be in force is measured at each size.
+const SAMPLES: u32 = 4;
+
+pub(crate) async fn measure(output: &mut Output) -> Result<()> {
+    by_number(output).await?;
+    by_load(output).await
+}
+
+/// Measures deployments of different sizes without load, and publishes a few changes in each.
+async fn by_number(output: &mut Output) -> Result<()> {
+    let (mut plain, mut busiest, mut memory) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut entry, mut in_force, mut in_force_max) = (Vec::new(), Vec::new(), Vec::new());
+    for count in [12, 24, 48] {
+        let size = f64::from(count);
+        let before_mb = resident_mb();
+        let mut bench = Bench::start(&[("a", count)], 1).await?;
+        memory.push((size, resident_mb() - before_mb));
+        let _probe = Probe::start(&bench, "a")?;
+        compio::time::sleep(SETTLE).await;
+        let load = thread_load(WINDOW).await;
+        let agents = loads_of(&load, "agent-a");
+        plain.push((size, median(&loads_of(&load, "probe"))));
+        busiest.push((size, agents.last().copied().unwrap_or(0.0)));
+        entry.push((size, median(&loads_of(&load, "entry-0"))));
+        let mut times = Vec::new();
+        for sample in 0..SAMPLES {
+            // Another phase of the intervals each time.
+            compio::time::sleep(Duration::from_millis(137) * sample).await;
+            let version = bench.change().await?;
+            let committed = Instant::now();
+            let seen = bench
+                .operator
+                .wait_for_status(Duration::from_secs(30), |status| {
+                    status.oldest_version >= version
+                })
+                .await;
+            if seen.is_some() {
+                times.push(committed.elapsed().as_secs_f64());
+            }
+        }
+        in_force.push((size, percentile(&mut times, 0.5)));
+        in_force_max.push((size, percentile(&mut times, 1.0)));
+    }
+    output.figure("agent/idle processor of the probe", "agent", "ms/s", plain);
+    output.figure(
+        "agent/idle processor, busiest agent (owner, relay)",
+        "agent",
+        "ms/s",
+        busiest,
+    );
+    output.figure(
+        "agent/memory of agent, backend server and worker stand-in",
+        "agent",
+        "MB",
+        memory,
+    );
+    output.figure(
+        "entry/idle processor by agents, with relays from 16",
+        "agent",
+        "ms/s",
+        entry,
+    );
+    output.figure(
+        "in force/median, as the status shows it",
+        "agent",
+        "s",
+        in_force,
+    );
+    output.figure(
+        "in force/longest, as the status shows it",
+        "agent",
+        "s",
+        in_force_max,
+    );
+    Ok(())
+}
+
+/// Measures one deployment under changes and running tasks. It stays below 16 agents, so that the probe
+/// polls the entry host through its forwarder.
+async fn by_load(output: &mut Output) -> Result<()> {
+    let mut bench = Bench::start(&[("a", 7)], 1).await?;
+    let probe = Probe::start(&bench, "a")?;
+    bench.wait_for_workers(8).await?;
+    compio::time::sleep(SETTLE).await;
+
+    let (mut processor, mut bytes, mut store) = (Vec::new(), Vec::new(), Vec::new());
+    for per_second in [0_u32, 2, 5] {
+        let changes = publish_for(&mut bench, per_second);
+        let loads = async { futures_util::join!(thread_load(WINDOW), changes) };
+        let (seen, (load, changes)) = probe.during(loads).await;
+        let rate = f64::from(changes?) / WINDOW.as_secs_f64();
+        processor.push((rate, median(&loads_of(&load, "probe"))));
+        bytes.push((rate, seen.entry));
+        store.push((rate, seen.store));
+    }
+    output.figure(
+        "agent/processor by configuration changes",
+        "change/s",
+        "ms/s",
+        processor,
+    );
+    output.figure(
+        "agent/bytes with its upstream by configuration changes",
+        "change/s",
+        "B/s",
+        bytes,
+    );
+    output.figure(
+        "agent/bytes of a contender with the store",
+        "change/s",
+        "B/s",
+        store,
+    );
+
+    let (mut processor, mut owner, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
+    let mut upstream = Vec::new();
+    let mut jobs = 0;
+    for wanted in [0_u32, 4, 8, 16] {
+        let request = JobRequest {
+            shape: PROBE_TASK,
+            ..job(1, LONG)
+        };
+        bench.submit(wanted - jobs, &request).await?;
+        jobs = wanted;
+        bench.wait_for_running(jobs).await?;
+        compio::time::sleep(Duration::from_secs(2)).await;
+        let (seen, load) = probe.during(thread_load(WINDOW)).await;
+        let size = f64::from(wanted);
+        processor.push((size, median(&loads_of(&load, "probe"))));
+        owner.push((
+            size,
+            loads_of(&load, "agent-a").last().copied().unwrap_or(0.0),
+        ));
+        bytes.push((size, seen.worker));
+        upstream.push((size, seen.entry));
+    }
+    output.figure(
+        "agent/processor by running tasks of one-task jobs",
+        "task",
+        "ms/s",
+        processor,
+    );
+    output.figure(
+        "agent/bytes with its own worker by running tasks (same host)",
+        "task",
+        "B/s",
+        bytes,
+    );
+    output.figure(
+        "agent/bytes with its upstream by running tasks",
+        "task",
+        "B/s",
+        upstream,
+    );
+    output.figure(
+        "owner/processor of the busiest of 8 agents by jobs",
+        "job",
+        "ms/s",
+        owner,
+    );
+    Ok(())
+}
+
+async fn publish_for(bench: &mut Bench, per_second: u32) -> Result<u32> {
+    let started = Instant::now();
+    let mut changes = 0;
+    while per_second > 0 && started.elapsed() < WINDOW {
+        bench.change().await?;
+        changes += 1;
+        let due = started + Duration::from_secs(1) / per_second * changes;
+        compio::time::sleep_until(due).await;
+    }
+    Ok(changes)
+}
--- /dev/null
+++ b/crates/scenarios/examples/slopes/failures.rs
@@ -0,0 +1,159 @@
+//! Takeover after the death of an owner, and the last start after a take-out.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::bench::Bench;
+use crate::bench::job;
+use crate::report::Output;
+use nutmegwalk_base::Result;
+use nutmegwalk_node::api::Status;
+use nutmegwalk_scenarios::measures::percentile;
+use nutmegwalk_scenarios::platform::EventKind;
+
+/// Time for all takeovers.
+const TAKEOVER_TIME: Duration = Duration::from_secs(50);
+const WANTED_KILLS: usize = 100;
+/// Data centres whose owners are killed in each round.
+const DATA_CENTRES: usize = 20;
+
+fn owner_of(status: &Status, data_centre: &str) -> Option<(Box<str>, u64, bool)> {
+    let one = status
+        .data_centres
+        .iter()
+        .find(|one| &*one.data_centre == data_centre)?;
+    let is_planning = one
+        .summary
+        .as_ref()
+        .is_some_and(|summary| summary.workers >= 2);
+    Some((one.owner.clone()?, one.epoch, is_planning))
+}
+
+/// Kills the owners of many data centres at once, again and again.
+pub(crate) async fn takeover(output: &mut Output) -> Result<()> {
+    let names: Vec<String> = (0..DATA_CENTRES)
+        .map(|number| format!("d{number}"))
+        .collect();
+    let sites: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 3)).collect();
+    let mut bench = Bench::start(&sites, 1).await?;
+    let started = Instant::now();
+    let (mut won, mut reported) = (Vec::new(), Vec::new());
+    while won.len() < WANTED_KILLS && started.elapsed() < TAKEOVER_TIME {
+        let status = bench.operator.status().await?;
+        let mut waiting = Vec::new();
+        for name in &names {
+            let Some((owner, epoch, true)) = owner_of(&status, name) else {
+                continue;
+            };
+            let Some(worker) = owner.strip_prefix("agent-") else {
+                continue;
+            };
+            if let Some(role) = bench.deployment.take_agent(worker) {
+                // The time counts from before the kill; a role ends within 10 ms.
+                waiting.push((name, worker.to_owned(), epoch, Instant::now(), false));
+                role.kill();
+            }
+        }
+        let limit = Instant::now() + Duration::from_secs(20);
+        let killed: Vec<String> = waiting.iter().map(|one| one.1.clone()).collect();
+        while !waiting.is_empty() && Instant::now() < limit {
+            compio::time::sleep(Duration::from_millis(25)).await;
+            let status = bench.operator.status().await?;
+            waiting.retain_mut(|(name, _, epoch, killed, is_won)| {
+                let Some((_, now, is_planning)) = owner_of(&status, name) else {
+                    return true;
+                };
+                if now > *epoch && !*is_won {
+                    *is_won = true;
+                    won.push(killed.elapsed().as_secs_f64());
+                }
+                if now > *epoch && is_planning {
+                    reported.push(killed.elapsed().as_secs_f64());
+                    return false;
+                }
+                true
+            });
+        }
+        if !waiting.is_empty() {
+            output.note(format!(
+                "takeover: {} data centres had no new owner after 20 s",
+                waiting.len()
+            ));
+        }
+        for worker in killed {
+            bench.deployment.start_agent(&worker)?;
+        }
+        compio::time::sleep(Duration::from_millis(2500)).await;
+    }
+    output.note(format!(
+        "takeover: {} kills, 3 agents in each of {DATA_CENTRES} data centres",
+        won.len()
+    ));
+    for (what, times) in [
+        ("a new epoch is seen by the entry host", &mut won),
+        (
+            "the new owner has the reports of both other agents",
+            &mut reported,
+        ),
+    ] {
+        output.note(format!(
+            "takeover: from the kill until {what}: p50 {:.2} s, p99 {:.2} s, longest {:.2} s, {} times",
+            percentile(times, 0.5),
+            percentile(times, 0.99),
+            percentile(times, 1.0),
+            times.len()
+        ));
+    }
+    Ok(())
+}
+
+/// Keeps short jobs coming and takes a data centre out.
+pub(crate) async fn take_out(output: &mut Output) -> Result<()> {
+    let (mut last_starts, mut confirmed) = (Vec::new(), Vec::new());
+    for workers in [3_u32, 6, 12] {
+        let bench = Bench::start(&[("a", workers), ("b", workers)], 1).await?;
+        // Enough work for both data centres to start jobs until after the take-out.
+        bench
+            .submit(workers * 60, &job(1, Duration::from_millis(700)))
+            .await?;
+        let platform = &bench.deployment.platform;
+        let asked = platform.now();
+        bench.operator.take_out("a").await?;
+        let answered = platform.now();
+        compio::time::sleep(Duration::from_secs(7)).await;
+        let events = platform.events();
+        let starts = |from: Duration| {
+            let starts = events.iter().filter(move |event| {
+                event.kind == EventKind::Started
+                    && event.worker.starts_with("a-")
+                    && event.at >= from
+            });
+            starts.map(|event| event.at)
+        };
+        let last = starts(asked).max().unwrap_or(asked);
+        let earlier =
+            starts(asked.saturating_sub(Duration::from_secs(1))).count() - starts(asked).count();
+        output.note(format!(
+            "take-out: {workers} workers, {earlier} starts in the second before, {} after",
+            starts(asked).count()
+        ));
+        last_starts.push((f64::from(workers), last.saturating_sub(asked).as_secs_f64()));
+        confirmed.push((
+            f64::from(workers),
+            answered.saturating_sub(asked).as_secs_f64(),
+        ));
+    }
+    output.figure(
+        "take-out/last start after the request",
+        "worker",
+        "s",
+        last_starts,
+    );
+    output.figure(
+        "take-out/answer with all confirmations",
+        "worker",
+        "s",
+        confirmed,
+    );
+    Ok(())
+}
