Find the end of a gang between renewal rounds

Cause: the lead learned that tasks had ended only in its next regular round, up to 2 s later, and the capacity stayed taken until then. Change: the lead looks at its own worker every 500 ms and starts a round at once when its tasks have ended.

--- a/crates/gang/src/agent/lead.rs
+++ b/crates/gang/src/agent/lead.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -32,6 +33,7 @@
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
+use nutmegwalk_net::Drain;
 
 /// What one renewal round says about the gang.
 enum Round {
@@ -150,17 +152,13 @@
             .collect();
         let mut extend = began.is_some();
         let mut round = 0;
+        let mut known = MembersState::Running;
         let mut next = began.map_or_else(Instant::now, |began| began + interval);
         loop {
             let Some(ending) = self.with_gang(key, |gang| gang.ending.clone()) else {
                 return Some(GangEnd::Lost);
             };
-            let pause = next.saturating_duration_since(Instant::now());
-            select(
-                std::pin::pin!(compio::time::sleep(pause)),
-                std::pin::pin!(ending.started()),
-            )
-            .await;
+            self.wait_for_round(key, next, &ending, &mut known).await;
             if self.shared.shutdown.is_started() {
                 return None;
             }
@@ -184,6 +182,42 @@
         }
     }
 
+    /// Waits until `next`, until the gang is told to end, or until the state of the lead's own members
+    /// is no longer the `known` one.
+    ///
+    /// The tasks of a gang mostly finish together, so a round right after the lead's own ones finds the
+    /// end of the gang long before the next regular round.
+    async fn wait_for_round(
+        &self,
+        key: &Key,
+        next: Instant,
+        ending: &Drain,
+        known: &mut MembersState,
+    ) {
+        let watch_interval = self.timings().watch_interval;
+        loop {
+            let pause = next
+                .saturating_duration_since(Instant::now())
+                .min(watch_interval);
+            select(pin!(compio::time::sleep(pause)), pin!(ending.started())).await;
+            let is_due = Instant::now() >= next;
+            if is_due || ending.is_started() || self.shared.shutdown.is_started() {
+                return;
+            }
+            let Ok(list) = self.bounded(self.shared.worker.list()).await else {
+                continue;
+            };
+            let state = self.with_gang(key, |gang| {
+                gang.update(key, &list);
+                gang.answer().state
+            });
+            if state != Some(*known) {
+                *known = state.unwrap_or(MembersState::Gone);
+                return;
+            }
+        }
+    }
+
     async fn round(
         &self,
         key: &Key,
--- a/crates/gang/src/timings.rs
+++ b/crates/gang/src/timings.rs
@@ -11,6 +11,8 @@
     pub lease: Duration,
     /// Time between two renewal rounds of the lead.
     pub renew_interval: Duration,
+    /// Time between two looks of the lead at its own worker's tasks.
+    pub watch_interval: Duration,
     /// Time for the answer to one request before it is repeated.
     pub exchange: Duration,
     /// Time for one step of the life cycle, with repeats.
@@ -25,6 +27,7 @@
             reservation: Duration::from_secs(5),
             lease: Duration::from_secs(6),
             renew_interval: Duration::from_secs(2),
+            watch_interval: Duration::from_millis(500),
             // Two repeats fit into one step, and a step ends before the lease of the first task that
             // it started lapses.
             exchange: Duration::from_secs(1),
--- a/crates/gang/tests/life_cycle.rs
+++ b/crates/gang/tests/life_cycle.rs
@@ -10,6 +10,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_gang::AttemptPhase;
 use nutmegwalk_gang::GangEnd;
+use nutmegwalk_gang::GangTimings;
 use nutmegwalk_gang::TaskState;
 
 macro_rules! cases {
@@ -63,6 +64,27 @@
         world.check();
     }
 
+    // Guards against capacity that stays taken until the next regular round after the tasks have
+    // finished: here that round comes after the limit of the wait.
+    end_is_found_between_rounds => {
+        let timings = GangTimings {
+            renew_interval: Duration::from_secs(300),
+            lease: Duration::from_secs(900),
+            watch_interval: Duration::from_millis(50),
+            ..common::timings()
+        };
+        let world = World::with_timings(2, timings).await;
+        world.driver.start(world.spec(1, 1, 4)).await.unwrap();
+        for node in &world.nodes {
+            node.worker.end_tasks(TaskState::Finished);
+        }
+        world.wait_for("the end", |world| {
+            world.nodes[0].agent.report().attempts.iter().all(|attempt| attempt.end == Some(GangEnd::Finished))
+        }).await;
+        assert_eq!(world.nodes[1].worker.renewals.get(), 0);
+        world.check();
+    }
+
     // Guards against a reclaim that waits for a worker that never answers its checkpoint.
     checkpoint_stops_at_the_bound => {
         let world = World::new(2).await;
