Count the start of guaranteed jobs in the sample run from their acceptance

Cause: guaranteed_start_max_s counted from a fixed time after the first event of the log. Change: each job keeps the time of its acceptance on the clock of the platform's events.

--- a/crates/scenarios/src/dev.rs
+++ b/crates/scenarios/src/dev.rs
@@ -62,6 +62,8 @@
     customer: CustomerId,
     guaranteed: bool,
     accelerators: u32,
+    /// Time of the acceptance on the clock of the platform's events.
+    accepted_at: Duration,
 }
 
 /// What the calls of the sample load showed.
@@ -246,6 +248,7 @@
                 customer: customer.clone(),
                 guaranteed: false,
                 accelerators,
+                accepted_at: deployment.platform.now(),
             });
         }
     }
@@ -268,6 +271,7 @@
                 customer: customer.clone(),
                 guaranteed: true,
                 accelerators: guarantee.shape.accelerators,
+                accepted_at: deployment.platform.now(),
             });
         }
     }
@@ -395,14 +399,11 @@
     Ok((completion, unfinished))
 }
 
-/// Returns the times from the first event of the log to the first start of each guaranteed job,
-/// counted from the last start of a borrowed job that was submitted before.
+/// Returns the times from the acceptance of each guaranteed job to the start of its first task.
 fn urgent_starts(events: &[crate::platform::Event], jobs: &[SampleJob]) -> Vec<f64> {
-    let submitted =
-        events.first().map_or(Duration::ZERO, |event| event.at) + Duration::from_millis(500);
     let starts = jobs.iter().filter(|job| job.guaranteed).filter_map(|job| {
         let first = events.iter().find(|event| event.job == job.id)?;
-        Some(first.at.saturating_sub(submitted).as_secs_f64())
+        Some(first.at.saturating_sub(job.accepted_at).as_secs_f64())
     });
     starts.collect()
 }
