Balance waiting jobs between data centres, and end gangs without a lead

Cause: jobs waited in one data centre while another was idle. The test killed_owner_is_replaced showed a second fault: an agent that restarts at another address leads no gang, so nobody reported the end of its gangs to the owner, and their jobs stayed in the state of running. Change: /v1/owner/release: every 3 s the dispatcher offers the room of each data centre without a queue to the owner with the longest queue, which gives up the oldest borrowers that fit. Only jobs move that have waited for 2 s and whose row names no attempt, by the owner's conditional write; gangs that need one rack stay, because the room is told without racks. An ended member without the lead's verdict ends its gang after one gang lease, and stops go to the present addresses of the agents.

--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -83,6 +83,15 @@
     pub summary: Option<OwnerSummary>,
 }
 
+/// Workers with the same number of free accelerators.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FreeWorkers {
+    /// Accelerators that are free on each of them.
+    pub accelerators: u32,
+    /// Number of workers.
+    pub workers: u32,
+}
+
 /// What the owner of a data centre tells about it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct OwnerSummary {
@@ -96,6 +105,15 @@
     pub running_jobs: u32,
     /// Jobs that wait.
     pub waiting_jobs: u32,
+    /// Jobs that wait for room and could run in another data centre.
+    #[serde(default)]
+    pub releasable_jobs: u32,
+    /// Jobs that wait for room.
+    #[serde(default)]
+    pub queued_jobs: u32,
+    /// Usable workers by the accelerators that are free on them.
+    #[serde(default)]
+    pub free_workers: Vec<FreeWorkers>,
     /// Share of free accelerators that the largest guaranteed shape cannot use.
     pub fragmentation_ratio: f64,
     /// Guarantees that the remaining hardware cannot hold.
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::join_all;
 use log::info;
@@ -19,6 +20,7 @@
 use crate::jobs::UNASSIGNED;
 use crate::jobs::unix_ms;
 use crate::owner::messages::JobNotice;
+use crate::owner::messages::ReleaseRequest;
 use crate::owner::messages::SummaryRequest;
 use nutmegwalk_base::DataCentreId;
 use nutmegwalk_base::Error;
@@ -38,6 +40,9 @@
 /// Time between two looks of the dispatcher for jobs without a data centre.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two rounds of balancing; the effect of one round shows in the summaries of the next.
+const BALANCE_INTERVAL: Duration = Duration::from_secs(3);
+
 /// What an entry host knows about data centres, for choosing one.
 pub(crate) struct DataCentres {
     view: View,
@@ -112,6 +117,54 @@
         }
     }
 
+    /// Asks owners whose jobs wait to release those that fit into the room of a data centre without a queue.
+    pub(crate) async fn balance(&self) {
+        for (source, target) in self.moves() {
+            let Some(owner) = self.owner_address(&source) else {
+                continue;
+            };
+            match self.client.send(owner, &target, OWNER_TIMEOUT).await {
+                Ok(released) if !released.jobs.is_empty() => {
+                    info!(from = &*source, to = &*target.data_centre; "{} jobs are released", released.jobs.len());
+                }
+                Ok(_) => {}
+                Err(error) => warn!(data_centre = &*source; "cannot ask for a release: {error}"),
+            }
+        }
+    }
+
+    /// Pairs each data centre that has jobs to release with one that has room for them.
+    fn moves(&self) -> Vec<(DataCentreId, ReleaseRequest)> {
+        let configuration = self.view.configuration();
+        let known = self.known.borrow();
+        let summaries = known.iter().filter_map(|(id, known)| {
+            let is_out = configuration.taken_out.contains_key(id);
+            Some((id, known, known.summary.as_ref().filter(|_| !is_out)?))
+        });
+        let (mut sources, mut targets) = (Vec::new(), Vec::new());
+        for (id, known, summary) in summaries {
+            if summary.releasable_jobs > 0 {
+                sources.push((summary.releasable_jobs, id));
+            } else if summary.queued_jobs == 0 && known.sent_accelerators == 0 {
+                targets.push((summary.free_accelerators, id, &summary.free_workers));
+            }
+        }
+        // The longest queue gets the most room. Each room is offered to one owner only.
+        sources.sort_unstable();
+        targets.sort_unstable_by_key(|(free, id, _)| (*free, *id));
+        let targets = targets.into_iter().rev().filter(|(free, ..)| *free > 0);
+        let pairs = sources.into_iter().rev().zip(targets);
+        pairs
+            .map(|((_, source), (_, target, free))| {
+                let request = ReleaseRequest {
+                    data_centre: target.clone(),
+                    free: free.clone(),
+                };
+                (source.clone(), request)
+            })
+            .collect()
+    }
+
     /// Tells the owner that the row of a job has changed; the owner's regular reads repair a lost notice.
     pub(crate) fn notify(&self, data_centre: &str, job: &str) {
         let Some(owner) = self.owner_address(data_centre) else {
@@ -232,12 +285,17 @@
 
     /// Dispatches whenever the lease is held, until `drain` starts.
     pub(crate) async fn run(&self, drain: Drain) {
+        let mut last_balance = Instant::now();
         while !drain.is_started() {
             if self.ownership.current().is_some()
                 && let Err(error) = self.dispatch().await
             {
                 warn!("cannot dispatch jobs: {error}");
             }
+            if self.ownership.current().is_some() && last_balance.elapsed() >= BALANCE_INTERVAL {
+                self.data_centres.balance().await;
+                last_balance = Instant::now();
+            }
             compio::time::sleep(DISPATCH_INTERVAL).await;
         }
     }
--- a/crates/node/src/owner/messages.rs
+++ b/crates/node/src/owner/messages.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::api::FreeWorkers;
 use crate::api::JobExplanation;
 use crate::api::OwnerSummary;
 use nutmegwalk_base::DataCentreId;
@@ -73,6 +74,27 @@
     const PATH: &'static str = "/v1/owner/summary";
 }
 
+/// Dispatcher to owner: release waiting jobs that fit into the room of another data centre.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ReleaseRequest {
+    /// Data centre that has the room.
+    pub data_centre: DataCentreId,
+    /// Its workers by the accelerators that are free on them.
+    pub free: Vec<FreeWorkers>,
+}
+
+/// Answer to a [`ReleaseRequest`]; the rows of the jobs follow.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Released {
+    /// Jobs that lose their home.
+    pub jobs: Vec<JobId>,
+}
+
+impl Message for ReleaseRequest {
+    type Answer = Released;
+    const PATH: &'static str = "/v1/owner/release";
+}
+
 /// Entry host to owner: asks what a job does or waits for.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ExplainRequest {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 pub mod messages;
 mod plan;
 mod record;
+mod release;
 mod reports;
 mod start;
 mod stop;
@@ -28,6 +29,7 @@
 use crate::owner::messages::AgentReport;
 use crate::owner::messages::ExplainRequest;
 use crate::owner::messages::JobNotice;
+use crate::owner::messages::ReleaseRequest;
 use crate::owner::messages::SummaryRequest;
 use crate::owner::term::Phase;
 use crate::owner::term::Term;
@@ -265,6 +267,11 @@
                     .message::<ExplainRequest>(secret)
                     .and_then(|message| self.explain(&message.job)),
             ),
+            ReleaseRequest::PATH => Response::message(
+                &request
+                    .message::<ReleaseRequest>(secret)
+                    .and_then(|message| self.release(&message)),
+            ),
             _ => return None,
         };
         Some(response)
@@ -277,6 +284,7 @@
     pub fn summary(&self) -> Result<OwnerSummary> {
         let term = self.inner.term.borrow();
         let term = term.as_ref().ok_or_else(not_owner)?;
+        let releasable = term.jobs.values().filter(|entry| entry.is_releasable());
         let measures = term.fleet.measures(term.now());
         let count = |matches: fn(&Phase) -> bool| {
             let jobs = term.jobs.values().filter(|entry| matches(&entry.phase));
@@ -289,6 +297,9 @@
             free_accelerators: u32::try_from(measures.free_accelerators).unwrap_or(u32::MAX),
             running_jobs: count(|phase| matches!(phase, Phase::Running { .. })),
             waiting_jobs: count(|phase| !matches!(phase, Phase::Running { .. })),
+            releasable_jobs: u32::try_from(releasable.count()).unwrap_or(u32::MAX),
+            queued_jobs: count(|phase| matches!(phase, Phase::Queued)),
+            free_workers: term.free_workers(),
             fragmentation_ratio: measures.fragmentation_ratio,
             degraded_guarantees: term
                 .fleet
--- a/crates/node/src/owner/reports.rs
+++ b/crates/node/src/owner/reports.rs
@@ -1,5 +1,6 @@
 //! Agents' reports: what runs where, what has ended, and what a new owner adopts.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use log::info;
@@ -42,8 +43,9 @@
     pub(crate) fn take_report(&self, report: AgentReport) -> Result<AgentReportAnswer> {
         let held = self.inner.ownership.current().ok_or_else(not_owner)?;
         let lag = self.inner.timings.report_lag;
+        let lease = self.inner.timings.gang.lease;
         let taken = self.with_term(held.epoch, |term| {
-            let followup = followup(term, &report, lag);
+            let followup = followup(term, &report, lag, lease);
             let acknowledged = if term.loaded && is_settled(term, &report) {
                 report.gangs.sequence
             } else {
@@ -57,12 +59,7 @@
             self.gang_ended(held.epoch, &job, end);
         }
         for job in followup.incomplete {
-            self.stop(
-                held.epoch,
-                &job,
-                StopReason::WorkerFailed,
-                std::time::Duration::ZERO,
-            );
+            self.stop(held.epoch, &job, StopReason::WorkerFailed, Duration::ZERO);
         }
         for orphan in followup.orphans {
             info!(job = &*orphan.job; "stopping an attempt that is not the job's current one");
@@ -94,7 +91,7 @@
                 let silence_is_final = term.started.elapsed() > quiet;
                 let entry = term.jobs.get_mut(&job)?;
                 let Some(run) = entry.stored.record.run.clone() else {
-                    entry.phase = Phase::Queued;
+                    entry.enqueue();
                     return None;
                 };
                 let view = judge_attempt(
@@ -130,6 +127,7 @@
                 entry.phase = Phase::Running {
                     gang,
                     since: Instant::now(),
+                    member_ended: None,
                 };
             }
             Some(record.state == JobState::Cancelling)
@@ -140,7 +138,7 @@
                 let now = term.now();
                 term.fleet.cancel(job, now);
             });
-            self.stop(epoch, job, StopReason::Cancelled, std::time::Duration::ZERO);
+            self.stop(epoch, job, StopReason::Cancelled, Duration::ZERO);
         }
     }
 
@@ -231,6 +229,7 @@
         incarnation: report.incarnation,
         last_heard: Instant::now(),
         usable,
+        accelerators: report.shape.accelerators,
         unanswered,
         avoid_until,
         gangs: report.gangs,
@@ -238,14 +237,16 @@
     term.workers.insert(id, entry);
 }
 
-fn followup(term: &Term, report: &AgentReport, lag: std::time::Duration) -> Followup {
+fn followup(term: &mut Term, report: &AgentReport, lag: Duration, lease: Duration) -> Followup {
     let mut followup = Followup::default();
     if !term.loaded {
         return followup;
     }
     for part in &report.gangs.attempts {
-        let entry = term.jobs.get(&part.job);
-        let is_current = entry.is_some_and(|entry| entry.attempt() == Some(part.attempt));
+        let entry = term.jobs.get_mut(&part.job);
+        let is_current = entry
+            .as_ref()
+            .is_some_and(|entry| entry.attempt() == Some(part.attempt));
         if !is_current {
             // An attempt is recorded before its first command, so one that is not recorded is over.
             if matches!(part.phase, AttemptPhase::Running | AttemptPhase::Bound) {
@@ -253,13 +254,18 @@
             }
             continue;
         }
-        if (part.lead || part.end == Some(GangEnd::Finished))
-            && part.phase == AttemptPhase::Ended
-            && entry.is_some_and(|entry| matches!(entry.phase, Phase::Running { .. }))
-        {
-            followup
-                .ended
-                .push((part.job.clone(), part.end.unwrap_or(GangEnd::Lost)));
+        let Some(Phase::Running { member_ended, .. }) = entry.map(|entry| &mut entry.phase) else {
+            continue;
+        };
+        if part.phase != AttemptPhase::Ended {
+            continue;
+        }
+        let is_verdict = part.lead || part.end == Some(GangEnd::Finished);
+        // The lead tells how the gang ended, unless it has restarted and does not lead any more.
+        let first_seen = *member_ended.get_or_insert_with(Instant::now);
+        if is_verdict || first_seen.elapsed() > lease {
+            let end = part.end.unwrap_or(GangEnd::Lost);
+            followup.ended.push((part.job.clone(), end));
         }
     }
     for (id, entry) in &term.jobs {
--- a/crates/node/src/owner/start.rs
+++ b/crates/node/src/owner/start.rs
@@ -106,6 +106,7 @@
             entry.phase = Phase::Running {
                 gang,
                 since: Instant::now(),
+                member_ended: None,
             };
             entry.refusals = 0;
             let workers = entry
@@ -141,7 +142,7 @@
                     Some(reason)
                 }
                 _ => {
-                    entry.phase = Phase::Queued;
+                    entry.enqueue();
                     None
                 }
             }
--- a/crates/node/src/owner/stop.rs
+++ b/crates/node/src/owner/stop.rs
@@ -18,6 +18,7 @@
 use nutmegwalk_fleet::StopReason;
 use nutmegwalk_gang::GangEnd;
 use nutmegwalk_gang::GangHandle;
+use nutmegwalk_gang::GangSpec;
 use nutmegwalk_gang::Running;
 use nutmegwalk_gang::Stopped;
 use nutmegwalk_gang::TaskState;
@@ -46,13 +47,7 @@
             queued
         });
         for job in queued.unwrap_or_default() {
-            let owner = self.clone();
-            compio::runtime::spawn(async move {
-                owner
-                    .settle_stopped(epoch, &job, StopReason::OutOfService, None)
-                    .await;
-            })
-            .detach();
+            self.give_away(epoch, job);
         }
     }
 
@@ -64,11 +59,14 @@
             StopGang(GangHandle<Running>),
         }
         let step = self.with_term(epoch, |term| {
+            let present = term.present_gang(job);
             let Some(entry) = term.jobs.get_mut(job) else {
                 return Step::Nothing;
             };
             match std::mem::replace(&mut entry.phase, Phase::Ending) {
-                Phase::Running { gang, .. } => Step::StopGang(gang),
+                Phase::Running { gang, .. } => {
+                    Step::StopGang(self.readdressed(gang, present, epoch))
+                }
                 Phase::Starting { .. } => {
                     entry.phase = Phase::Starting { stop: Some(reason) };
                     Step::CancelStart
@@ -100,6 +98,18 @@
         }
     }
 
+    fn readdressed(
+        &self,
+        gang: GangHandle<Running>,
+        present: Option<GangSpec>,
+        epoch: Epoch,
+    ) -> GangHandle<Running> {
+        match present {
+            Some(present) if present != *gang.spec() => self.inner.driver.adopt(present, epoch),
+            _ => gang,
+        }
+    }
+
     async fn stop_gang(
         &self,
         epoch: Epoch,
@@ -178,7 +188,7 @@
             }
             let now = term.now();
             if let Some(entry) = term.jobs.get_mut(job) {
-                entry.phase = Phase::Queued;
+                entry.enqueue();
             }
             term.fleet.stopped(job, checkpoint_of(&record), now);
         });
@@ -187,9 +197,10 @@
     /// Takes the end of a gang that its lead has reported.
     pub(crate) fn gang_ended(&self, epoch: Epoch, job: &JobId, end: GangEnd) {
         let gang = self.with_term(epoch, |term| {
+            let present = term.present_gang(job);
             let entry = term.jobs.get_mut(job)?;
             match std::mem::replace(&mut entry.phase, Phase::Ending) {
-                Phase::Running { gang, .. } => Some(gang),
+                Phase::Running { gang, .. } => Some(self.readdressed(gang, present, epoch)),
                 other => {
                     entry.phase = other;
                     None
@@ -238,7 +249,7 @@
                 self.with_term(epoch, |term| {
                     let now = term.now();
                     if let Some(entry) = term.jobs.get_mut(job) {
-                        entry.phase = Phase::Queued;
+                        entry.enqueue();
                     }
                     term.fleet.start_failed(job, Some(worker), now);
                 });
--- a/crates/node/src/owner/term.rs
+++ b/crates/node/src/owner/term.rs
@@ -58,6 +58,8 @@
         gang: GangHandle<Running>,
         /// When the owner learned that the gang runs.
         since: Instant,
+        /// When a member was first reported as ended without the lead's verdict.
+        member_ended: Option<Instant>,
     },
     /// The gang is being stopped, or its end is being recorded.
     Ending,
@@ -67,6 +69,8 @@
 pub(crate) struct JobEntry {
     pub(crate) stored: StoredJob,
     pub(crate) phase: Phase,
+    /// When the job was last put into the queue.
+    pub(crate) queued_since: Instant,
     /// Starts in a row that were refused for lack of room, permission or connection.
     pub(crate) refusals: u32,
     /// The planner gets the job again then.
@@ -78,11 +82,18 @@
         Self {
             stored,
             phase,
+            queued_since: Instant::now(),
             refusals: 0,
             retry_at: None,
         }
     }
 
+    /// Puts the job back into the queue.
+    pub(crate) fn enqueue(&mut self) {
+        self.phase = Phase::Queued;
+        self.queued_since = Instant::now();
+    }
+
     pub(crate) fn attempt(&self) -> Option<Attempt> {
         self.stored.record.run.as_ref().map(|run| run.attempt)
     }
@@ -94,6 +105,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) last_heard: Instant,
     pub(crate) usable: bool,
+    pub(crate) accelerators: u32,
     /// Starts in a row that the worker or its agent did not answer.
     pub(crate) unanswered: u32,
     /// Until then no tasks are placed on the worker.
@@ -241,6 +253,13 @@
         self.logged_degraded = degraded;
     }
 
+    /// Returns the running gang of a job with the present addresses of its agents, which change when an
+    /// agent restarts at another one.
+    pub(crate) fn present_gang(&self, job: &str) -> Option<GangSpec> {
+        let record = &self.jobs.get(job)?.stored.record;
+        self.gang_spec(record, record.run.as_ref()?).ok()
+    }
+
     /// Builds the gang of a job from its placements.
     pub(crate) fn gang_spec(&self, record: &JobRecord, run: &RunRecord) -> Result<GangSpec> {
         let mut members = Vec::new();
