Send the jobs of a lost or silent data centre elsewhere

Cause: the jobs of a data centre that was gone waited for it for ever, and cut-off agents kept tasks alive without a limit. A data centre that was given up gets no jobs. Agents end all gangs after 70 min without a confirmed view (with_isolated_after), and at once when their data centre is out as lost. GangAgent::end_all existed for this without a test and a caller. Conclusion: nothing runs twice when the lost data centre returns. Not covered: the return after a takeover by silence. An agent that restarts while it is cut off counts its 70 min anew.

--- a/crates/gang/tests/failures.rs
+++ b/crates/gang/tests/failures.rs
@@ -231,6 +231,24 @@
         world.check();
     }
 
+    // Guards against tasks, or a start that is under way, that go on beside an agent that was cut off for
+    // so long that its data centre may have been given up.
+    cut_off_agent_ends_everything => {
+        let world = World::new(3).await;
+        world.driver.start(world.spec(1, 1, 6)).await.unwrap();
+        let mut other = world.spec(1, 2, 3);
+        other.job = "job-2".into();
+        let bound = world.driver.reserve(other).await.unwrap();
+        let bound = world.driver.bind(bound).await.unwrap();
+        world.nodes[1].agent.end_all().await;
+        assert_eq!(world.nodes[1].worker.running(), 0);
+        let failure = world.driver.launch(bound).await.unwrap_err();
+        assert_eq!(failure.error.kind, ErrorKind::AttemptClosed);
+        // Without one member the whole gang ends.
+        world.wait_until_ended().await;
+        assert_eq!(world.running(), 0);
+    }
+
     // Guards against members that run on without their lead.
     lead_dies => {
         let world = World::new(3).await;
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -32,6 +32,7 @@
 use nutmegwalk_calls::ServerSlots;
 use nutmegwalk_calls::SlotSettings;
 use nutmegwalk_config::WorkerShape;
+use nutmegwalk_gang::AttemptPhase;
 use nutmegwalk_gang::GangAgent;
 use nutmegwalk_gang::HttpWorker;
 use nutmegwalk_gang::Resources;
@@ -126,7 +127,10 @@
         let address = server.local_address();
         let incarnation = new_incarnation();
         let links = Links::new(common, &options)?;
-        let timings = SyncTimings::default();
+        let mut timings = SyncTimings::default();
+        if let Some(isolated_after) = options.isolated_after {
+            timings.isolated_after = isolated_after;
+        }
         let view = View::new(timings);
         let membership = Membership::new(timings);
         let report = Report {
@@ -366,12 +370,31 @@
                 self.gangs.set_epoch_floor(row.epoch);
             }
             self.contend();
+            if self.must_end_tasks() && self.has_active_gangs() {
+                self.gangs.end_all().await;
+            }
             self.sync
                 .set_payload(&encode(&self.payload()).unwrap_or_default());
             compio::time::sleep(CHANGE_POLL).await;
         }
     }
 
+    /// Returns whether the tasks may have been started elsewhere: nobody could reach this process for
+    /// very long, or an operator gave the data centre up.
+    fn must_end_tasks(&self) -> bool {
+        let configuration = self.view.configuration();
+        let out = configuration
+            .taken_out
+            .get(&self.settings.common.data_centre);
+        self.view.is_isolated() || out.is_some_and(|out| out.lost)
+    }
+
+    fn has_active_gangs(&self) -> bool {
+        let over = [AttemptPhase::Ending, AttemptPhase::Ended];
+        let attempts = self.gangs.report().attempts;
+        attempts.iter().any(|part| !over.contains(&part.phase))
+    }
+
     /// Contends for the ownership of the data centre if this process is one of the first relays.
     ///
     /// A data centre that is too small for relays has so few agents that all may contend.
--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use log::warn;
 
 use crate::api::OwnerSummary;
+use crate::entry::lost::LostDataCentres;
 use crate::job_table::JobTable;
 use crate::job_table::StoredJob;
 use crate::jobs::JobRecord;
@@ -48,6 +50,8 @@
     view: View,
     client: Client,
     known: RefCell<BTreeMap<DataCentreId, Known>>,
+    /// Data centres that get no jobs although they are in service.
+    given_up: RefCell<BTreeSet<DataCentreId>>,
 }
 
 #[derive(Clone, Default)]
@@ -63,9 +67,14 @@
             view,
             client,
             known: RefCell::default(),
+            given_up: RefCell::default(),
         }
     }
 
+    pub(crate) fn set_given_up(&self, data_centres: BTreeSet<DataCentreId>) {
+        *self.given_up.borrow_mut() = data_centres;
+    }
+
     /// Returns the lease row of a data centre's owner.
     pub(crate) fn owner_row(&self, data_centre: &str) -> Option<OwnerRow> {
         let owners = self.view.owners();
@@ -201,6 +210,7 @@
         let in_service: Vec<&DataCentreId> = candidates
             .into_iter()
             .filter(|id| !configuration.taken_out.contains_key(*id))
+            .filter(|id| !self.given_up.borrow().contains(*id))
             .collect();
         let mut known = self.known.borrow_mut();
         let best = if request.guarantee.is_some() {
@@ -268,6 +278,7 @@
     ownership: Rc<Ownership>,
     jobs: JobTable,
     data_centres: Rc<DataCentres>,
+    lost: LostDataCentres,
 }
 
 impl Dispatcher {
@@ -275,11 +286,13 @@
         ownership: Rc<Ownership>,
         jobs: JobTable,
         data_centres: Rc<DataCentres>,
+        lost: LostDataCentres,
     ) -> Self {
         Self {
             ownership,
             jobs,
             data_centres,
+            lost,
         }
     }
 
@@ -287,6 +300,8 @@
     pub(crate) async fn run(&self, drain: Drain) {
         let mut last_balance = Instant::now();
         while !drain.is_started() {
+            self.lost.step(self.ownership.current().is_some()).await;
+            self.data_centres.set_given_up(self.lost.given_up());
             if self.ownership.current().is_some()
                 && let Err(error) = self.dispatch().await
             {
@@ -298,6 +313,7 @@
             }
             compio::time::sleep(DISPATCH_INTERVAL).await;
         }
+        self.lost.step(false).await;
     }
 
     async fn dispatch(&self) -> Result<()> {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod dispatch;
 mod jobs;
+mod lost;
 mod operators;
 
 use std::collections::BTreeMap;
@@ -24,6 +25,7 @@
 use crate::entry::dispatch::DataCentres;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::jobs::JobDesk;
+use crate::entry::lost::LostDataCentres;
 use crate::entry::operators::OperatorDesk;
 use crate::job_table::JobTable;
 use crate::options::NodeOptions;
@@ -61,6 +63,9 @@
 use nutmegwalk_sync::View;
 use nutmegwalk_sync::ViewReader;
 
+/// Silence after which a data centre's jobs go elsewhere: longer than the longest split between regions,
+/// and than the time after which cut-off agents stop their tasks.
+const SILENT_AFTER: Duration = Duration::from_secs(75 * 60);
 /// Time for the store requests of a caller or operator.
 const STORE_DEADLINE: Duration = Duration::from_secs(4);
 /// Time between two looks for changes of the membership.
@@ -154,10 +159,20 @@
             address.to_string(),
         ));
         let progress = JobTable::new(links.duty(Duty::Progress, STORE_DEADLINE));
+        let lost = LostDataCentres::new(
+            links.store.clone(),
+            common.name.clone(),
+            address.to_string().into(),
+            progress.clone(),
+            view.clone(),
+            membership.clone(),
+            options.silent_after.unwrap_or(SILENT_AFTER),
+        );
         let dispatcher = Dispatcher::new(
             Rc::clone(&dispatch_lease),
             progress,
             Rc::clone(&data_centres),
+            lost,
         );
         let metrics = Metrics::new()?;
         let shared = Shared {
--- a/crates/scenarios/tests/owner.rs
+++ b/crates/scenarios/tests/owner.rs
@@ -1,5 +1,6 @@
 //! Ownership of data centres under failures of whole processes, with the whole product on loopback.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,16 +9,38 @@
 use http::Method;
 
 use nutmegwalk_base::JobId;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_base::secret::token_digest;
 use nutmegwalk_config::Adjacency;
+use nutmegwalk_config::Configuration;
 use nutmegwalk_config::WorkerShape;
+use nutmegwalk_gang::Attempt;
+use nutmegwalk_gang::HttpWorker;
+use nutmegwalk_gang::TaskMetadata;
+use nutmegwalk_gang::WorkerApi;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_node::Agent;
+use nutmegwalk_node::Entry;
+use nutmegwalk_node::NodeOptions;
+use nutmegwalk_node::api::JobStatus;
+use nutmegwalk_node::api::PublishRequest;
 use nutmegwalk_node::api::Status;
+use nutmegwalk_node::api::Submitted;
 use nutmegwalk_node::jobs::JobRequest;
 use nutmegwalk_node::jobs::JobState;
+use nutmegwalk_node::jobs::UNASSIGNED;
+use nutmegwalk_node::settings::AgentSettings;
+use nutmegwalk_node::settings::CommonSettings;
+use nutmegwalk_node::settings::EntrySettings;
 use nutmegwalk_scenarios::deployment::ApiClient;
 use nutmegwalk_scenarios::deployment::BOOTSTRAP_TOKEN;
 use nutmegwalk_scenarios::deployment::Deployment;
 use nutmegwalk_scenarios::deployment::DeploymentPlan;
 use nutmegwalk_scenarios::dev::example_token;
+use nutmegwalk_scenarios::platform::EventKind;
+use nutmegwalk_scenarios::platform::Platform;
+use nutmegwalk_scenarios::platform::WorkerSize;
 use nutmegwalk_scenarios::platform::longest_partial_run;
 use nutmegwalk_scenarios::platform::overlapping_attempts;
 
@@ -69,19 +92,7 @@
 
     async fn submit(&self, tasks: u32, accelerators: u32, work_ms: u64) -> JobId {
         let configuration = &self.deployment.plan().configuration;
-        let request = JobRequest {
-            service: configuration.services.keys().next().unwrap().clone(),
-            tasks,
-            shape: WorkerShape {
-                cores: 4,
-                memory_mb: 4096,
-                accelerators,
-            },
-            adjacency: Adjacency::DataCentre,
-            guarantee: None,
-            declared_run_ms: None,
-            payload: format!("{{\"work_ms\":{work_ms}}}").into(),
-        };
+        let request = job_request(configuration, tasks, accelerators, work_ms);
         self.customer.submit(&request).await.unwrap().job
     }
 
@@ -138,6 +149,40 @@
     }
 }
 
+fn common_settings(name: &str, listen: SocketAddr, platform: &Platform) -> CommonSettings {
+    CommonSettings {
+        name: name.into(),
+        listen,
+        data_centre: "rezekne".into(),
+        region: "latgale".into(),
+        store: platform.address(),
+        secret: Secret::new("loopback-secret"),
+        log_level: log::LevelFilter::Info,
+        drain_ms: 1000,
+    }
+}
+
+fn job_request(
+    configuration: &Configuration,
+    tasks: u32,
+    accelerators: u32,
+    work_ms: u64,
+) -> JobRequest {
+    JobRequest {
+        service: configuration.services.keys().next().unwrap().clone(),
+        tasks,
+        shape: WorkerShape {
+            cores: 4,
+            memory_mb: 4096,
+            accelerators,
+        },
+        adjacency: Adjacency::DataCentre,
+        guarantee: None,
+        declared_run_ms: None,
+        payload: format!("{{\"work_ms\":{work_ms}}}").into(),
+    }
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
         $(#[rstest::rstest] fn $name() { compio::runtime::Runtime::new().unwrap().block_on(async $body) })*
@@ -175,4 +220,136 @@
         world.deployment.start_agent(&worker).unwrap();
         world.finish(&jobs).await;
     }
+
+    // Guards against jobs that wait for ever for a data centre that is gone, and that run twice when it
+    // returns.
+    jobs_of_a_lost_data_centre_run_elsewhere_once => {
+        let mut world = World::start().await;
+        let mut jobs = Vec::new();
+        for _ in 0..12 {
+            jobs.push(world.submit(1, 4, 8000).await);
+        }
+        let (data_centre, _, epoch) = world.busiest_owner().await;
+        let sites = world.deployment.sites().to_vec();
+        let workers = sites.iter().filter(|site| site.data_centre == data_centre);
+        let workers: Vec<_> = workers.map(|site| site.worker.clone()).collect();
+        for worker in &workers {
+            world.deployment.take_agent(worker).unwrap().kill();
+        }
+        let body = format!("{{\"data_centre\":\"{data_centre}\",\"lost\":true}}");
+        let answer = world.operator.raw(Method::POST, "/v1/take-out", &[], body.into()).await.unwrap();
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        for job in &jobs {
+            let end = world.customer.wait_for_end(job, LIMIT).await;
+            assert_eq!(end.map(|status| status.state), Some(JobState::Finished));
+        }
+        for worker in &workers {
+            world.deployment.start_agent(worker).unwrap();
+        }
+        world.operator.return_to_service(&data_centre).await.unwrap();
+        world.wait_for_new_owner(&data_centre, epoch + 1).await;
+        jobs.push(world.submit(1, 8, 500).await);
+        world.finish(&jobs).await;
+    }
+
+    // Guards against tasks that an agent keeps alive although nobody has reached it for so long that
+    // they may have been started elsewhere.
+    agent_that_is_cut_off_ends_its_tasks => {
+        let platform = Platform::start(1).unwrap();
+        platform.add_worker("w", WorkerSize::PLANK);
+        let reserved = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = reserved.local_addr().unwrap();
+        let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let entries = vec![nobody.local_addr().unwrap()];
+        drop((reserved, nobody));
+        let client = Client::new("test", Secret::new("")).unwrap();
+        let worker = HttpWorker::new(client, platform.address(), "w");
+        let task = TaskMetadata {
+            job: "job-1".into(),
+            attempt: Attempt { epoch: 1, sequence: 1 },
+            member: 0,
+            customer: CUSTOMER.into(),
+            borrowed: true,
+            agents: vec![listen],
+            cores: 1,
+            memory_mb: 1,
+            accelerators: 1,
+            payload: "{\"work_ms\":3600000}".into(),
+            checkpoint_ms: 0,
+        };
+        worker.start(&task, Duration::from_secs(60)).await.unwrap();
+        let settings = AgentSettings {
+            common: common_settings("agent-w", listen, &platform),
+            worker: "w".into(),
+            rack: "r1".into(),
+            worker_address: platform.address(),
+            cores: 128,
+            memory_mb: 256_000,
+            accelerators: 8,
+            entries,
+        };
+        // Beyond the gang lease, for which the tasks live without any renewal.
+        let isolated_after = Duration::from_secs(14);
+        let options = NodeOptions::new().with_isolated_after(isolated_after);
+        let agent = Agent::bind(settings, options).await.unwrap();
+        let began = Instant::now();
+        compio::runtime::spawn(agent.run(Drain::new())).detach();
+        let ended = || platform.events().iter().any(|event| event.kind != EventKind::Started);
+        while !ended() {
+            assert!(began.elapsed() < LIMIT, "the task still runs");
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        // The agent had kept the task alive until then.
+        assert!(began.elapsed() >= isolated_after);
+    }
+
+    // Guards against jobs that wait for ever for a data centre that nobody has declared lost.
+    jobs_of_a_silent_data_centre_lose_their_home => {
+        let platform = Platform::start(1).unwrap();
+        let settings = EntrySettings {
+            common: common_settings("entry-0", "127.0.0.1:0".parse().unwrap(), &platform),
+            bootstrap_operator_digest: Some(token_digest(BOOTSTRAP_TOKEN)),
+            peers: Vec::new(),
+        };
+        let options = NodeOptions::new().with_silent_after(Duration::from_secs(3));
+        let entry = Entry::bind(settings, options).await.unwrap();
+        let address = entry.local_address();
+        compio::runtime::spawn(entry.run(Drain::new())).detach();
+        let client = Client::new("test", Secret::new("")).unwrap();
+        let send = async |method, path: &str, token: &str, body: Vec<u8>| {
+            let token = format!("Bearer {token}");
+            let headers = [("authorization", &*token)];
+            client.request(method, address, path, &headers, body.into(), LIMIT).await.unwrap()
+        };
+        let examples = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/kurzeme");
+        let plan = DeploymentPlan::new(&[examples], 1).unwrap();
+        let publish = PublishRequest { based_on: 0, configuration: plan.configuration.clone() };
+        let publish = serde_json::to_vec(&publish).unwrap();
+        let began = Instant::now();
+        while send(Method::POST, "/v1/publish", BOOTSTRAP_TOKEN, publish.clone()).await.status != 200 {
+            assert!(began.elapsed() < LIMIT, "the configuration was not published");
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let job = serde_json::to_vec(&job_request(&plan.configuration, 1, 1, 100)).unwrap();
+        let token = example_token(CUSTOMER);
+        let submitted = loop {
+            let answer = send(Method::POST, "/v1/jobs", &token, job.clone()).await;
+            if answer.status == 200 {
+                break serde_json::from_slice::<Submitted>(&answer.body).unwrap();
+            }
+            assert!(began.elapsed() < LIMIT, "{:?}", answer.body);
+            compio::time::sleep(Duration::from_millis(100)).await;
+        };
+        assert_ne!(&*submitted.data_centre, UNASSIGNED);
+        let path = format!("/v1/jobs/{}", submitted.job);
+        loop {
+            let answer = send(Method::GET, &path, &token, Vec::new()).await;
+            let status: JobStatus = serde_json::from_slice(&answer.body).unwrap();
+            if &*status.data_centre == UNASSIGNED {
+                break;
+            }
+            assert!(began.elapsed() < LIMIT, "{status:?}");
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
 }
