Checkpoint running gangs once a minute

Cause: a gang that lost a member began again from its last stop, because only a stop wrote checkpoints. Change: the owner asks every running gang for checkpoints every 60 s (OwnerTimings::checkpoint), the first time after 30 to 60 s, and writes the least work of all members into the job's row when it has risen: at most one write per gang and interval. Conclusion: a lost member costs the work of one interval at most, as long as its checkpoints succeed.

--- /dev/null
+++ b/crates/node/src/owner/checkpoint.rs
@@ -0,0 +1,111 @@
+//! Regular checkpoints of running gangs, which bound the work that a lost member costs.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use log::debug;
+
+use crate::jobs::JobRecord;
+use crate::owner::DataCentreOwner;
+use crate::owner::term::Phase;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::JobId;
+use nutmegwalk_gang::GangSpec;
+use nutmegwalk_gang::MemberReport;
+use nutmegwalk_gang::TaskState;
+use nutmegwalk_gang::messages::Checkpoint;
+
+/// Time that the tasks have for a regular checkpoint.
+const CHECKPOINT_TIME: Duration = Duration::from_secs(20);
+
+impl DataCentreOwner {
+    /// Asks the gangs for checkpoints whose last one is old enough.
+    pub(crate) fn checkpoint_due(&self, epoch: Epoch) {
+        let now = Instant::now();
+        let next = now + self.inner.timings.checkpoint;
+        let due = self.with_term(epoch, |term| {
+            let mut jobs: Vec<JobId> = Vec::new();
+            for (id, entry) in &mut term.jobs {
+                if let Phase::Running { checkpoint_at, .. } = &mut entry.phase
+                    && *checkpoint_at <= now
+                {
+                    *checkpoint_at = next;
+                    jobs.push(id.clone());
+                }
+            }
+            let gangs = jobs.iter().filter_map(|job| term.present_gang(job));
+            gangs.collect::<Vec<GangSpec>>()
+        });
+        for gang in due.unwrap_or_default() {
+            let owner = self.clone();
+            compio::runtime::spawn(async move { owner.checkpoint(epoch, gang).await }).detach();
+        }
+    }
+
+    async fn checkpoint(&self, epoch: Epoch, gang: GangSpec) {
+        let message = Checkpoint {
+            job: gang.job.clone(),
+            attempt: gang.attempt,
+            epoch,
+            within_ms: u64::try_from(CHECKPOINT_TIME.as_millis()).unwrap_or(u64::MAX),
+            stop: false,
+        };
+        let agents: BTreeSet<SocketAddr> = gang.members.iter().map(|member| member.agent).collect();
+        let limit = CHECKPOINT_TIME + self.inner.timings.gang.exchange;
+        let sends = agents
+            .into_iter()
+            .map(|agent| self.inner.client.send(agent, &message, limit));
+        let mut members = Vec::new();
+        for answer in join_all(sends).await {
+            match answer {
+                Ok(states) => members.extend(states),
+                Err(error) => {
+                    debug!(job = &*gang.job; "no checkpoint of all members: {error}");
+                    return;
+                }
+            }
+        }
+        let Some(checkpoint_ms) = common_checkpoint(&members, gang.members.len()) else {
+            return;
+        };
+        let is_news = self.with_term(epoch, |term| {
+            let entry = term.jobs.get(&gang.job);
+            entry.is_some_and(|entry| {
+                entry.attempt() == Some(gang.attempt)
+                    && matches!(entry.phase, Phase::Running { .. })
+                    && entry.stored.record.checkpoint_ms < checkpoint_ms
+            })
+        });
+        if is_news != Some(true) {
+            return;
+        }
+        // Work of this attempt counts whatever became of the attempt in between.
+        let progress = |record: &JobRecord| JobRecord {
+            checkpoint_ms: record.checkpoint_ms.max(checkpoint_ms),
+            ..record.clone()
+        };
+        if self.update(epoch, &gang.job, progress).await.is_ok() {
+            self.with_term(epoch, |term| {
+                let now = term.now();
+                let checkpoint = Duration::from_millis(checkpoint_ms);
+                term.fleet.checkpointed(&gang.job, checkpoint, now);
+            });
+        }
+    }
+}
+
+/// Returns the work that all members can resume from; none unless every member was reported.
+fn common_checkpoint(members: &[MemberReport], size: usize) -> Option<u64> {
+    if members.len() < size {
+        return None;
+    }
+    // A member that has finished writes no checkpoints any more, and has done all its work.
+    let work = members.iter().map(|member| match member.state {
+        Some(TaskState::Finished) => member.progress_ms,
+        _ => member.checkpoint_ms,
+    });
+    work.min()
+}
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -3,6 +3,7 @@
 //! Any agent of the data centre may hold the ownership lease. A term lasts from winning the lease to
 //! losing it; everything that a term knows comes from the table and from the agents' reports.
 
+mod checkpoint;
 mod inbox;
 pub mod messages;
 mod plan;
@@ -64,6 +65,8 @@
     pub rebuild: Duration,
     /// Time after a start within which reports may still lack the attempt.
     pub report_lag: Duration,
+    /// Time between two checkpoints of a running gang, and so the most work that a lost member costs.
+    pub checkpoint: Duration,
     /// Intervals of the gang protocol.
     pub gang: GangTimings,
 }
@@ -77,6 +80,7 @@
             // Agents learn of a new owner within 1.5 s and report once a second.
             rebuild: Duration::from_millis(2500),
             report_lag: Duration::from_secs(3),
+            checkpoint: Duration::from_secs(60),
             gang: GangTimings::default(),
         }
     }
@@ -92,6 +96,7 @@
     data_centre: DataCentreId,
     ownership: Rc<Ownership>,
     jobs: JobTable,
+    client: Client,
     driver: GangDriver,
     view: View,
     secret: Secret,
@@ -141,7 +146,7 @@
             ownership: Rc::clone(&ownership),
             view: view.clone(),
         };
-        let driver = GangDriver::new(client)
+        let driver = GangDriver::new(client.clone())
             .with_timings(timings.gang)
             .with_permission(Rc::new(permission));
         Self {
@@ -149,6 +154,7 @@
                 data_centre,
                 ownership,
                 jobs,
+                client,
                 driver,
                 view,
                 secret,
@@ -208,6 +214,7 @@
         self.cancel_requested(epoch);
         self.resolve(epoch);
         self.plan(epoch);
+        self.checkpoint_due(epoch);
     }
 
     /// Follows the lease: starts a term when it was won, ends the term when it was lost.
--- a/crates/node/src/owner/reports.rs
+++ b/crates/node/src/owner/reports.rs
@@ -124,11 +124,7 @@
             term.fleet.adopt(job_spec(&record), run.placements, now);
             let gang = self.inner.driver.adopt(spec, epoch);
             if let Some(entry) = term.jobs.get_mut(job) {
-                entry.phase = Phase::Running {
-                    gang,
-                    since: Instant::now(),
-                    member_ended: None,
-                };
+                entry.phase = Phase::running(gang, self.inner.timings.checkpoint);
             }
             Some(record.state == JobState::Cancelling)
         });
--- a/crates/node/src/owner/start.rs
+++ b/crates/node/src/owner/start.rs
@@ -1,7 +1,6 @@
 //! Starts of gangs.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use log::info;
 
@@ -103,11 +102,7 @@
                 Phase::Starting { stop } => stop,
                 _ => None,
             };
-            entry.phase = Phase::Running {
-                gang,
-                since: Instant::now(),
-                member_ended: None,
-            };
+            entry.phase = Phase::running(gang, self.inner.timings.checkpoint);
             entry.refusals = 0;
             let workers = entry
                 .stored
--- a/crates/node/src/owner/term.rs
+++ b/crates/node/src/owner/term.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
+
 use crate::job_table::StoredJob;
 use crate::jobs::JobRecord;
 use crate::jobs::RunRecord;
@@ -58,6 +60,8 @@
         gang: GangHandle<Running>,
         /// When the owner learned that the gang runs.
         since: Instant,
+        /// When the next regular checkpoint is due.
+        checkpoint_at: Instant,
         /// When a member was first reported as ended without the lead's verdict.
         member_ended: Option<Instant>,
     },
@@ -65,6 +69,21 @@
     Ending,
 }
 
+impl Phase {
+    /// Returns the phase of a gang of which the owner learns now that it runs.
+    pub(crate) fn running(gang: GangHandle<Running>, checkpoint: Duration) -> Self {
+        let now = Instant::now();
+        // Gangs that were started or adopted together do not write together.
+        let share = rand::rng().random_range(0.5..=1.0);
+        Self::Running {
+            gang,
+            since: now,
+            checkpoint_at: now + checkpoint.mul_f64(share),
+            member_ended: None,
+        }
+    }
+}
+
 /// A job of the data centre.
 pub(crate) struct JobEntry {
     pub(crate) stored: StoredJob,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -67,6 +67,7 @@
 pub fn timings() -> OwnerTimings {
     OwnerTimings {
         inbox: Duration::from_millis(300),
+        checkpoint: Duration::from_millis(500),
         gang: GangTimings {
             reservation: Duration::from_millis(1500),
             lease: Duration::from_secs(3),
