--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -3,10 +3,12 @@
 //! Any agent of the data centre may hold the ownership lease. A term lasts from winning the lease to
 //! losing it; everything that a term knows comes from the table and from the agents' reports.
 
+mod checkpoint;
 mod inbox;
 pub mod messages;
 mod plan;
 mod record;
+mod release;
 mod reports;
 mod start;
 mod stop;
@@ -28,6 +30,7 @@
 use crate::owner::messages::AgentReport;
 use crate::owner::messages::ExplainRequest;
 use crate::owner::messages::JobNotice;
+use crate::owner::messages::ReleaseRequest;
 use crate::owner::messages::SummaryRequest;
 use crate::owner::term::Phase;
 use crate::owner::term::Term;
@@ -62,6 +65,8 @@
     pub rebuild: Duration,
     /// Time after a start within which reports may still lack the attempt.
     pub report_lag: Duration,
+    /// Time between two checkpoints of a running gang, and so the most work that a lost member costs.
+    pub checkpoint: Duration,
     /// Intervals of the gang protocol.
     pub gang: GangTimings,
 }
@@ -75,6 +80,7 @@
             // Agents learn of a new owner within 1.5 s and report once a second.
             rebuild: Duration::from_millis(2500),
             report_lag: Duration::from_secs(3),
+            checkpoint: Duration::from_secs(60),
             gang: GangTimings::default(),
         }
     }
@@ -90,6 +96,7 @@
     data_centre: DataCentreId,
     ownership: Rc<Ownership>,
     jobs: JobTable,
+    client: Client,
     driver: GangDriver,
     view: View,
     secret: Secret,
@@ -139,7 +146,7 @@
             ownership: Rc::clone(&ownership),
             view: view.clone(),
         };
-        let driver = GangDriver::new(client)
+        let driver = GangDriver::new(client.clone())
             .with_timings(timings.gang)
             .with_permission(Rc::new(permission));
         Self {
@@ -147,6 +154,7 @@
                 data_centre,
                 ownership,
                 jobs,
+                client,
                 driver,
                 view,
                 secret,
@@ -206,6 +214,7 @@
         self.cancel_requested(epoch);
         self.resolve(epoch);
         self.plan(epoch);
+        self.checkpoint_due(epoch);
     }
 
     /// Follows the lease: starts a term when it was won, ends the term when it was lost.
@@ -265,6 +274,11 @@
                     .message::<ExplainRequest>(secret)
                     .and_then(|message| self.explain(&message.job)),
             ),
+            ReleaseRequest::PATH => Response::message(
+                &request
+                    .message::<ReleaseRequest>(secret)
+                    .and_then(|message| self.release(&message)),
+            ),
             _ => return None,
         };
         Some(response)
@@ -277,6 +291,7 @@
     pub fn summary(&self) -> Result<OwnerSummary> {
         let term = self.inner.term.borrow();
         let term = term.as_ref().ok_or_else(not_owner)?;
+        let releasable = term.jobs.values().filter(|entry| entry.is_releasable());
         let measures = term.fleet.measures(term.now());
         let count = |matches: fn(&Phase) -> bool| {
             let jobs = term.jobs.values().filter(|entry| matches(&entry.phase));
@@ -289,6 +304,9 @@
             free_accelerators: u32::try_from(measures.free_accelerators).unwrap_or(u32::MAX),
             running_jobs: count(|phase| matches!(phase, Phase::Running { .. })),
             waiting_jobs: count(|phase| !matches!(phase, Phase::Running { .. })),
+            releasable_jobs: u32::try_from(releasable.count()).unwrap_or(u32::MAX),
+            queued_jobs: count(|phase| matches!(phase, Phase::Queued)),
+            free_workers: term.free_workers(),
             fragmentation_ratio: measures.fragmentation_ratio,
             degraded_guarantees: term
                 .fleet
--- a/crates/node/src/owner/start.rs
+++ b/crates/node/src/owner/start.rs
@@ -1,7 +1,6 @@
 //! Starts of gangs.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use log::info;
 
@@ -103,10 +102,7 @@
                 Phase::Starting { stop } => stop,
                 _ => None,
             };
-            entry.phase = Phase::Running {
-                gang,
-                since: Instant::now(),
-            };
+            entry.phase = Phase::running(gang, self.inner.timings.checkpoint);
             entry.refusals = 0;
             let workers = entry
                 .stored
@@ -141,7 +137,7 @@
                     Some(reason)
                 }
                 _ => {
-                    entry.phase = Phase::Queued;
+                    entry.enqueue();
                     None
                 }
             }
