Add scenarios for jobs and many processes, and the stand-in's own process

Callers go through a balancer that asks /healthz, refused cancellations are repeated, and the report names the ends of jobs and calls that were not as wished.

--- a/crates/scenarios/src/deployment/operator.rs
+++ b/crates/scenarios/src/deployment/operator.rs
@@ -1,5 +1,6 @@
 //! Client of the entry hosts' HTTP interface for callers and operators.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -53,6 +54,18 @@
         self
     }
 
+    /// Uses only the entry hosts with these indices, or all when there are none.
+    #[must_use]
+    pub fn with_entries(mut self, indices: &BTreeSet<usize>) -> Self {
+        let entries = self.entries.iter().enumerate();
+        let chosen = entries.filter(|(index, _)| indices.contains(index));
+        let chosen: Vec<SocketAddr> = chosen.map(|(_, entry)| *entry).collect();
+        if !chosen.is_empty() {
+            self.entries = chosen;
+        }
+        self
+    }
+
     /// Asks the entry host with this index only.
     #[must_use]
     pub fn with_only_entry(mut self, index: usize) -> Self {
@@ -164,6 +177,12 @@
         self.json(Method::GET, "/v1/status", Vec::new()).await
     }
 
+    /// Returns whether the entry host takes callers, as the platform's balancer asks it.
+    pub async fn is_ready(&self) -> bool {
+        let answer = self.raw(Method::GET, "/healthz", &[], Bytes::new()).await;
+        answer.is_ok_and(|response| response.status == 200)
+    }
+
     /// Returns the number of changes in the audit trail, at most one page of it.
     ///
     /// # Errors
--- a/crates/scenarios/src/main.rs
+++ b/crates/scenarios/src/main.rs
@@ -2,7 +2,9 @@
 
 mod compare;
 mod report;
+mod stand_in;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -16,7 +18,9 @@
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::WorkerId;
 use nutmegwalk_fleet::Policy;
+use nutmegwalk_scenarios::platform::WorkerSize;
 use nutmegwalk_scenarios::runner;
 use nutmegwalk_scenarios::script;
 
@@ -55,6 +59,27 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Runs table, object store and workers as a process of its own, for daemons started by hand.
+    Platform {
+        /// Address and port to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Names of the workers.
+        #[arg(long, value_delimiter = ',', required = true)]
+        workers: Vec<WorkerId>,
+        /// Processor cores of each worker.
+        #[arg(long, default_value_t = WorkerSize::PLANK.cores)]
+        cores: u32,
+        /// Memory of each worker in megabytes.
+        #[arg(long, default_value_t = WorkerSize::PLANK.memory_mb)]
+        memory_mb: u64,
+        /// Accelerators of each worker.
+        #[arg(long, default_value_t = WorkerSize::PLANK.accelerators)]
+        accelerators: u32,
+        /// Seed of the store's random faults.
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+    },
 }
 
 /// Baseline placement policies.
@@ -116,5 +141,21 @@
             compare::print(&own.measures, &other.measures);
             Ok(own.measures.violations())
         }
+        Command::Platform {
+            listen,
+            workers,
+            cores,
+            memory_mb,
+            accelerators,
+            seed,
+        } => {
+            let size = WorkerSize {
+                cores,
+                memory_mb,
+                accelerators,
+            };
+            runtime.block_on(stand_in::run(listen, &workers, size, seed))?;
+            Ok(0)
+        }
     }
 }
--- a/crates/scenarios/src/report.rs
+++ b/crates/scenarios/src/report.rs
@@ -2,6 +2,9 @@
 
 use nutmegwalk_scenarios::runner::Report;
 
+/// Kinds of ends printed.
+const ENDS_SHOWN: usize = 20;
+
 /// Prints figures, invariants and what shows violations; with `json`, the last line is one object.
 pub(crate) fn print(report: &Report, json: bool) {
     let measures = &report.measures;
@@ -13,6 +16,9 @@
         let verdict = if *count == 0 { "holds" } else { "VIOLATED" };
         println!("  {name:<36} {verdict:>12} {count}");
     }
+    for (end, count) in report.other_ends.iter().take(ENDS_SHOWN) {
+        println!("{count} times: {end}");
+    }
     for (name, found) in &report.evidence {
         for text in found {
             println!("{name}: {text}");
--- a/crates/scenarios/src/runner/calls.rs
+++ b/crates/scenarios/src/runner/calls.rs
@@ -11,7 +11,6 @@
 use rand::rngs::StdRng;
 
 use crate::deployment::SEND_HEADER;
-use crate::dev::example_token;
 use crate::dev::service_of;
 use crate::runner::Run;
 use crate::script::CallLoad;
@@ -165,10 +164,10 @@
         let call = self.calls.borrow()[index].clone();
         let id = call.sends[send].id.clone();
         self.sleep_until(call.sends[send].sent).await;
-        let api = self.deployment.borrow().api(&example_token(&call.customer));
-        let Ok(api) = api else { return };
         // Repeats go through other entry hosts.
-        let api = api.with_first_entry(index + send);
+        let Ok(api) = self.caller(&call.customer, index + send) else {
+            return;
+        };
         let Ok(service) = service_of(&self.scenario.configuration) else {
             return;
         };
--- a/crates/scenarios/src/runner/figures.rs
+++ b/crates/scenarios/src/runner/figures.rs
@@ -44,6 +44,7 @@
             .filter(|answer| answer.result.is_ok())
             .count();
         let mut add = |name: &str, value: f64| measures.figures.insert(name.into(), value);
+        add("cancels_repeated", f64::from(self.cancels_repeated.get()));
         add("version", watch.version as f64);
         add("commands_done", number(succeeded));
         add("commands_refused", number(answers.len() - succeeded));
@@ -65,11 +66,11 @@
         measures.completion_p99_s = percentile(&mut completion, 0.99);
         let mut starts: BTreeMap<bool, Vec<f64>> = BTreeMap::new();
         for job in jobs.iter() {
-            let Some((id, accepted_at)) = job.id.as_ref().zip(job.accepted_at) else {
+            let Some((id, sent_at)) = job.id.as_ref().zip(job.sent_at) else {
                 continue;
             };
             if let Some(started) = whole_start(events, id) {
-                let wait = started.saturating_sub(accepted_at).as_secs_f64();
+                let wait = started.saturating_sub(sent_at).as_secs_f64();
                 starts.entry(job.borrowed).or_default().push(wait);
             }
         }
--- a/crates/scenarios/src/runner/jobs.rs
+++ b/crates/scenarios/src/runner/jobs.rs
@@ -8,7 +8,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::dev::example_token;
 use crate::dev::service_of;
 use crate::runner::GRACE;
 use crate::runner::Run;
@@ -36,8 +35,8 @@
     pub(crate) arrival: Duration,
     /// Id, when the job is accepted.
     pub(crate) id: Option<JobId>,
-    /// Time of acceptance on the platform's clock.
-    pub(crate) accepted_at: Option<Duration>,
+    /// Time at which the accepted submission was sent, on the platform's clock.
+    pub(crate) sent_at: Option<Duration>,
     /// Why the job was refused for good.
     pub(crate) refusal: Option<Error>,
     /// Submissions that were not accepted.
@@ -98,7 +97,7 @@
         },
         arrival: Duration::from_millis(arrival_ms),
         id: None,
-        accepted_at: None,
+        sent_at: None,
         refusal: None,
         repeats: 0,
         borrowed: load.guarantee.is_none(),
@@ -118,20 +117,20 @@
     async fn submit(&self, index: usize) {
         let job = self.jobs.borrow()[index].clone();
         self.sleep_until(job.arrival).await;
-        let api = self.deployment.borrow().api(&example_token(&job.customer));
-        let Ok(api) = api else { return };
         let key = format!("{}-{index}", self.seed);
         let mut turn = index;
         while !self.ended.get() && self.started.elapsed() < self.scenario.limit + GRACE {
-            let api = api.clone().with_first_entry(turn);
+            let Ok(api) = self.caller(&job.customer, turn) else {
+                return;
+            };
+            let sent_at = self.deployment.borrow().platform.now();
             let submitted =
                 compio::time::timeout(SUBMIT_TIMEOUT, api.submit_once(&key, &job.request)).await;
-            let now = self.deployment.borrow().platform.now();
             let error = match submitted {
                 Ok(Ok(submitted)) => {
                     let mut jobs = self.jobs.borrow_mut();
                     jobs[index].id = Some(submitted.job);
-                    jobs[index].accepted_at = Some(now);
+                    jobs[index].sent_at = Some(sent_at);
                     return;
                 }
                 Ok(Err(error)) => error,
--- a/crates/scenarios/src/runner/judge.rs
+++ b/crates/scenarios/src/runner/judge.rs
@@ -19,6 +19,7 @@
 use crate::script::Expectation;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_node::jobs::JobRecord;
+use nutmegwalk_node::jobs::JobState;
 
 /// Time after a take-out from which no task may start in the data centre.
 const START_BOUND: Duration = Duration::from_secs(5);
@@ -124,6 +125,28 @@
         .collect()
 }
 
+/// Counts what calls and jobs came to other than their own answer and their finish.
+fn other_ends(calls: &[CallRun], records: &[JobRecord]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for send in calls.iter().flat_map(|call| &call.sends) {
+        if let Some(answer) = send
+            .answer
+            .as_ref()
+            .filter(|answer| **answer != Answer::Own)
+        {
+            *counts.entry(format!("call {answer:?}")).or_default() += 1;
+        }
+    }
+    for record in records {
+        if record.state != JobState::Finished {
+            let error = record.error.as_ref().map(ToString::to_string);
+            let end = format!("job {:?} {}", record.state, error.unwrap_or_default());
+            *counts.entry(end).or_default() += 1;
+        }
+    }
+    counts
+}
+
 impl Run {
     /// Judges the whole run.
     pub(crate) fn judge(&self) -> Report {
@@ -160,6 +183,7 @@
         evidence.insert("versions_never_fall", self.falls());
         evidence.insert("planned_stop_cuts_no_call", self.cut_calls(&calls));
         evidence.insert("changes_in_one_order", self.conflicting_changes());
+        let other_ends = other_ends(&calls, &records);
         drop((calls, watch));
         let mut measures = self.measure(&events, &records, executions.len(), now);
         let mut expected = self.problems.borrow().clone();
@@ -177,7 +201,11 @@
             .iter()
             .map(|(name, found)| (*name, found.len() as u64))
             .collect();
-        Report { measures, evidence }
+        Report {
+            measures,
+            evidence,
+            other_ends,
+        }
     }
 
     fn starts_while_out(&self, events: &[Event], now: Duration) -> Vec<String> {
--- a/crates/scenarios/src/runner/mod.rs
+++ b/crates/scenarios/src/runner/mod.rs
@@ -50,6 +50,9 @@
     pub measures: Measures,
     /// What shows each violation.
     pub evidence: Evidence,
+    /// Answers to calls that were not the caller's own body, and ends of jobs that did not finish, with
+    /// how often each was seen.
+    pub other_ends: BTreeMap<String, u64>,
 }
 
 /// A scenario while it runs.
@@ -64,6 +67,7 @@
     watch: RefCell<Watch>,
     operator_answers: RefCell<Vec<OperatorAnswer>>,
     operators_busy: Cell<usize>,
+    cancels_repeated: Cell<u32>,
     steps_done: Cell<bool>,
     ended: Cell<bool>,
     /// Processes that steps have frozen.
@@ -72,6 +76,8 @@
     down: RefCell<BTreeSet<WorkerId>>,
     /// Restarts of each process by steps.
     restarts: RefCell<BTreeMap<Box<str>, u32>>,
+    /// Entry hosts to which the platform's balancer sends callers.
+    balanced: RefCell<BTreeSet<usize>>,
     cuts: RefCell<Vec<(Box<str>, Box<str>)>>,
     /// Problems of the run itself, such as a step whose state was never reached.
     problems: RefCell<Vec<String>>,
@@ -101,18 +107,20 @@
         deployment: RefCell::new(deployment),
         operator,
         started: Instant::now(),
-        scenario,
         seed,
         watch: RefCell::default(),
         operator_answers: RefCell::default(),
         operators_busy: Cell::new(0),
+        cancels_repeated: Cell::new(0),
         steps_done: Cell::new(false),
         ended: Cell::new(false),
         paused: RefCell::default(),
         down: RefCell::default(),
         restarts: RefCell::default(),
+        balanced: RefCell::new((0..scenario.deployment.entries).collect()),
         cuts: RefCell::default(),
         problems: RefCell::default(),
+        scenario,
     });
     run.execute().await;
     Ok(run.judge())
@@ -183,6 +191,17 @@
         compio::time::sleep(at.saturating_sub(self.started.elapsed())).await;
     }
 
+    /// Returns a client of the entry hosts that the balancer uses, of which callers take one in turn.
+    fn caller(&self, customer: &str, turn: usize) -> Result<ApiClient> {
+        let api = self
+            .deployment
+            .borrow()
+            .api(&dev::example_token(customer))?;
+        Ok(api
+            .with_entries(&self.balanced.borrow())
+            .with_first_entry(turn))
+    }
+
     fn table(&self) -> Table<'_> {
         Table::new(self.deployment.borrow())
     }
--- a/crates/scenarios/src/runner/operate.rs
+++ b/crates/scenarios/src/runner/operate.rs
@@ -1,6 +1,7 @@
 //! Operators' commands of steps.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use log::info;
@@ -12,6 +13,9 @@
 use nutmegwalk_base::Result;
 use nutmegwalk_config::Configuration;
 
+/// Time after which a refused cancellation is repeated.
+const REPEAT_AFTER: Duration = Duration::from_millis(250);
+
 /// Answer to a command of an operator.
 #[derive(Clone, Debug)]
 pub(crate) struct OperatorAnswer {
@@ -90,18 +94,24 @@
         self.publish_race(self.scenario.deployment.entries);
     }
 
-    /// Cancels every job that is accepted and has not ended.
+    /// Cancels every job that is accepted and has not ended; refused cancellations are repeated.
     pub(crate) async fn cancel_all(&self) {
         let open = self
             .records()
             .into_iter()
             .filter(|job| !job.state.is_final());
-        let cancels = open.enumerate().map(|(index, job)| {
-            let api = self.entry(index);
-            async move {
-                if let Err(error) = api.cancel(&job.id).await {
-                    info!(job = &*job.id; "the cancellation failed: {error}");
+        let cancels = open.enumerate().map(|(index, job)| async move {
+            let mut turn = index;
+            while let Err(error) = self.entry(turn).cancel(&job.id).await {
+                info!(job = &*job.id; "the cancellation failed: {error}");
+                if self.started.elapsed() > self.scenario.limit {
+                    let problem = format!("{} cannot be cancelled: {error}", job.id);
+                    self.problems.borrow_mut().push(problem);
+                    return;
                 }
+                turn += 1;
+                self.cancels_repeated.set(self.cancels_repeated.get() + 1);
+                compio::time::sleep(REPEAT_AFTER).await;
             }
         });
         join_all(cancels).await;
--- a/crates/scenarios/src/runner/state.rs
+++ b/crates/scenarios/src/runner/state.rs
@@ -60,6 +60,10 @@
     /// Returns whether `state` is reached now.
     pub(crate) fn has_reached(&self, state: &State) -> bool {
         match state {
+            State::JobsAccepted(count) => {
+                let jobs = self.jobs.borrow();
+                jobs.iter().filter(|job| job.id.is_some()).count() >= *count
+            }
             State::JobsRunning(count) => {
                 let events = self.events();
                 let whole = gangs(&events)
--- a/crates/scenarios/src/runner/steps.rs
+++ b/crates/scenarios/src/runner/steps.rs
@@ -339,6 +339,10 @@
             Action::WorkerIgnoresCheckpoint(pattern) => {
                 self.worker_faults(pattern, |faults| faults.ignores_checkpoint = true)?;
             }
+            Action::WorkerSlowCheckpoint(pattern, delay_ms) => {
+                let delay = Duration::from_millis(*delay_ms);
+                self.worker_faults(pattern, |faults| faults.checkpoint_delay = delay)?;
+            }
             Action::WorkerHealthy(pattern) => {
                 self.worker_faults(pattern, |faults| *faults = WorkerFaults::default())?;
             }
--- a/crates/scenarios/src/runner/watch.rs
+++ b/crates/scenarios/src/runner/watch.rs
@@ -17,6 +17,8 @@
 const STATUS_POLL: Duration = Duration::from_millis(200);
 /// Time for one answer; an entry host that is frozen or cut off gives none.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for an answer to the balancer, after which an entry host counts as not ready.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A time for which a data centre was out of service.
 ///
@@ -123,6 +125,8 @@
         for entry in 0..self.scenario.deployment.entries {
             let run = Rc::clone(self);
             compio::runtime::spawn(async move { run.watch_status(entry).await }).detach();
+            let run = Rc::clone(self);
+            compio::runtime::spawn(async move { run.balance(entry).await }).detach();
         }
     }
 
@@ -169,4 +173,18 @@
             compio::time::sleep(STATUS_POLL).await;
         }
     }
+
+    /// Keeps callers away from an entry host that is not ready, as the platform's balancer does.
+    async fn balance(&self, entry: usize) {
+        let probe = self.operator.clone().with_only_entry(entry);
+        while !self.ended.get() {
+            let ready = compio::time::timeout(PROBE_TIMEOUT, probe.is_ready()).await;
+            if ready == Ok(true) {
+                self.balanced.borrow_mut().insert(entry);
+            } else {
+                self.balanced.borrow_mut().remove(&entry);
+            }
+            compio::time::sleep(STATUS_POLL).await;
+        }
+    }
 }
--- a/crates/scenarios/src/script/state.rs
+++ b/crates/scenarios/src/script/state.rs
@@ -6,6 +6,8 @@
 /// A state of the product, the load or the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum State {
+    /// At least so many jobs were accepted.
+    JobsAccepted(usize),
     /// At least so many jobs run with all their members.
     JobsRunning(usize),
     /// At least so many jobs have ended.
@@ -44,6 +46,7 @@
     pub fn parse(text: &str) -> Result<Self, String> {
         let mut words = Words::new(text);
         let state = match words.word("a state")? {
+            "jobs-accepted" => Self::JobsAccepted(words.number("a number of jobs")?),
             "jobs-running" => Self::JobsRunning(words.number("a number of jobs")?),
             "jobs-ended" => Self::JobsEnded(words.number("a number of jobs")?),
             "jobs-finished" => Self::JobsFinished(words.number("a number of jobs")?),
--- a/crates/scenarios/src/script/step.rs
+++ b/crates/scenarios/src/script/step.rs
@@ -38,6 +38,8 @@
     WorkerFailsStarts(WorkerPattern),
     /// Workers never answer checkpoints.
     WorkerIgnoresCheckpoint(WorkerPattern),
+    /// Time in milliseconds that workers take for a checkpoint.
+    WorkerSlowCheckpoint(WorkerPattern, u64),
     /// Workers work again.
     WorkerHealthy(WorkerPattern),
     /// The store refuses everything.
@@ -184,12 +186,14 @@
             "backend-fails" => Self::BackendFails,
             "backend-mixes-answers" => Self::BackendMixesAnswers,
             "backend-healthy" => Self::BackendHealthy,
-            "backend-slow" => {
+            "worker-slow-checkpoint" | "backend-slow" => {
                 let worker = words.word("a worker")?.into();
-                return Ok(Self::BackendSlow(
-                    worker,
-                    words.number("a time in milliseconds")?,
-                ));
+                let time_ms = words.number("a time in milliseconds")?;
+                return Ok(if name == "backend-slow" {
+                    Self::BackendSlow(worker, time_ms)
+                } else {
+                    Self::WorkerSlowCheckpoint(worker, time_ms)
+                });
             }
             _ => {
                 return Err(format!(
@@ -221,6 +225,7 @@
                 | Self::BackendHealthy(_)
                 | Self::WorkerFailsStarts(_)
                 | Self::WorkerIgnoresCheckpoint(_)
+                | Self::WorkerSlowCheckpoint(..)
                 | Self::WorkerHealthy(_)
                 | Self::Heal
                 | Self::StoreUp
