--- /dev/null
+++ b/crates/scenarios/tests/fast_scenarios.rs
@@ -0,0 +1,77 @@
+//! The scenarios that take a few seconds, with the seeds of their files, two at a time.
+//!
+//! Only scenarios whose expectations are states and counts are here: verdicts must not depend on the
+//! speed of the machine. Those with bounds on time or on calls answered under load are run by hand.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use rstest::rstest;
+
+use nutmegwalk_scenarios::runner;
+use nutmegwalk_scenarios::script;
+
+/// Scenarios that run at once; each has about 40 threads.
+const AT_ONCE: usize = 2;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// One of the places for running scenarios; dropping it lets the next one start.
+struct Place;
+
+impl Place {
+    fn take() -> Self {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = ENDED
+            .wait_while(running, |running| *running >= AT_ONCE)
+            .unwrap_or_else(PoisonError::into_inner);
+        *running += 1;
+        Self
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
+/// Guards against the failure that the description of each file names.
+#[rstest]
+#[case::burst("burst")]
+#[case::reclaim("reclaim")]
+#[case::gang_member_dies("gang-member-dies")]
+#[case::never_fits("never-fits")]
+#[case::cancel_wave("cancel-wave")]
+#[case::publish_race("publish-race")]
+#[case::take_out_race("take-out-race")]
+#[case::store_lost_answers("store-lost-answers")]
+#[case::duplicate_storm("duplicate-storm")]
+#[case::mixed_answers("mixed-answers")]
+fn invariants_hold(#[case] name: &str) {
+    let _place = Place::take();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let file = root.join("scenarios").join(name).with_extension("toml");
+    let scenario = script::load(&file, &root).unwrap_or_else(|error| panic!("{error}"));
+    let seed = scenario.seed;
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    let report = runtime
+        .block_on(runner::run(Rc::new(scenario), seed))
+        .unwrap_or_else(|error| panic!("{name}, seed {seed}: {error}"));
+    let shown: Vec<String> = report
+        .evidence
+        .iter()
+        .flat_map(|(invariant, found)| found.iter().map(move |text| format!("{invariant}: {text}")))
+        .collect();
+    assert!(
+        shown.is_empty(),
+        "{name}, seed {seed}:\n{}\n{:#?}",
+        shown.join("\n"),
+        report.other_ends
+    );
+}
