Measure plain agents, decoding and a busy take-out in the slopes example

Cause: the control poll of a deployment's roles (100 wakes a second) hid the cost of a plain agent; the take-out ran out of jobs before it began; the share of decoding in the cost of a report was not known.

Change: running tasks are measured on an agent of the example's own, whose thread looks at its controls ten times a second; jobs of whole workers keep starts coming during the take-out; reports are decoded in a loop.

--- a/crates/scenarios/examples/slopes/agents.rs
+++ b/crates/scenarios/examples/slopes/agents.rs
@@ -4,8 +4,10 @@
 use std::time::Instant;
 
 use crate::bench::Bench;
+use crate::bench::configuration;
 use crate::bench::job;
 use crate::probe::PROBE_TASK;
+use crate::probe::PROBE_WORKER;
 use crate::probe::Probe;
 use crate::report::Output;
 use crate::system::loads_of;
@@ -13,6 +15,7 @@
 use crate::system::resident_mb;
 use crate::system::thread_load;
 use nutmegwalk_base::Result;
+use nutmegwalk_config::Rack;
 use nutmegwalk_node::jobs::JobRequest;
 use nutmegwalk_scenarios::measures::percentile;
 
@@ -102,7 +105,20 @@
 /// Measures one deployment under changes and running tasks. It stays below 16 agents, so that the probe
 /// polls the entry host through its forwarder.
 async fn by_load(output: &mut Output) -> Result<()> {
-    let mut bench = Bench::start(&[("a", 7)], 1).await?;
+    let mut configuration = configuration(&[("a", 7)]);
+    let large = Rack {
+        workers: 1,
+        shape: PROBE_WORKER,
+    };
+    if let Some(site) = configuration.data_centres.get_mut("a") {
+        site.racks.insert("big".into(), large);
+    }
+    let mut bench = Bench::from_configuration(configuration, 1)?;
+    bench.publish_first().await?;
+    bench.wait_for_workers(8).await?;
+    // The probe takes the place of the agent beside the large worker.
+    drop(bench.deployment.take_agent("a-big-0"));
+    compio::time::sleep(Duration::from_secs(8)).await;
     let probe = Probe::start(&bench, "a")?;
     bench.wait_for_workers(8).await?;
     compio::time::sleep(SETTLE).await;
--- a/crates/scenarios/examples/slopes/bench.rs
+++ b/crates/scenarios/examples/slopes/bench.rs
@@ -114,8 +114,13 @@
 
     /// Starts a deployment without a configuration.
     pub(crate) fn start_unready(data_centres: &[(&str, u32)], entries: usize) -> Result<Self> {
+        Self::from_configuration(configuration(data_centres), entries)
+    }
+
+    /// Starts a deployment of a configuration that is not published yet.
+    pub(crate) fn from_configuration(configuration: Configuration, entries: usize) -> Result<Self> {
         let deployment = Deployment::start(DeploymentPlan {
-            configuration: configuration(data_centres),
+            configuration,
             entries,
             policy: Policy::Guaranteed,
             service_time: Duration::from_millis(5),
--- a/crates/scenarios/examples/slopes/failures.rs
+++ b/crates/scenarios/examples/slopes/failures.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use crate::bench::Bench;
+use crate::bench::WORKER;
 use crate::bench::job;
 use crate::report::Output;
 use nutmegwalk_base::Result;
 use nutmegwalk_node::api::Status;
+use nutmegwalk_node::jobs::JobRequest;
 use nutmegwalk_scenarios::measures::percentile;
 use nutmegwalk_scenarios::platform::EventKind;
 
@@ -113,9 +115,11 @@
     for workers in [3_u32, 6, 12] {
         let bench = Bench::start(&[("a", workers), ("b", workers)], 1).await?;
         // Enough work for both data centres to start jobs until after the take-out.
-        bench
-            .submit(workers * 60, &job(1, Duration::from_millis(700)))
-            .await?;
+        let request = JobRequest {
+            shape: WORKER,
+            ..job(1, Duration::from_millis(700))
+        };
+        bench.submit(workers * 40, &request).await?;
         let platform = &bench.deployment.platform;
         let asked = platform.now();
         bench.operator.take_out("a").await?;
--- a/crates/scenarios/examples/slopes/owner.rs
+++ b/crates/scenarios/examples/slopes/owner.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::bench::Bench;
 use crate::bench::job;
@@ -11,6 +12,7 @@
 use crate::report::Output;
 use crate::reporters::FakePart;
 use crate::reporters::Reporters;
+use crate::reporters::report;
 use crate::reporters::worker_name;
 use crate::system::loads_of;
 use crate::system::median;
@@ -22,17 +24,22 @@
 use nutmegwalk_fleet::Placement;
 use nutmegwalk_gang::Attempt;
 use nutmegwalk_net::Client;
+use nutmegwalk_net::decode;
+use nutmegwalk_net::encode;
 use nutmegwalk_node::job_table::JobTable;
 use nutmegwalk_node::jobs::JobRecord;
 use nutmegwalk_node::jobs::JobState;
 use nutmegwalk_node::jobs::RunRecord;
 use nutmegwalk_node::jobs::unix_ms;
+use nutmegwalk_node::owner::messages::AgentReport;
 use nutmegwalk_store::HttpStore;
 
 /// Time over which the load is measured.
 const WINDOW: Duration = Duration::from_secs(5);
 /// Time within which all fake agents have reported to the new owner.
 const SETTLE: Duration = Duration::from_secs(4);
+/// Reports over which the time of decoding is averaged.
+const DECODED: u32 = 20_000;
 const HOUR: Duration = Duration::from_secs(3600);
 
 /// What one run has shown.
@@ -133,6 +140,33 @@
         "ms/s",
         processor,
     );
+    codec(output)
+}
+
+/// Measures the part of a report's cost that would remain if many came in one message.
+fn codec(output: &mut Output) -> Result<()> {
+    let mut points = Vec::new();
+    for count in [0, 4, 8, 16] {
+        let part = |number: u32| FakePart {
+            job: format!("job-{number}").into(),
+            attempt: Attempt {
+                epoch: 1,
+                sequence: u64::from(number),
+            },
+            first_member: 0,
+            members: 1,
+        };
+        let parts: Vec<FakePart> = (0..count).map(part).collect();
+        let address = ([127, 0, 0, 1], 1).into();
+        let body = encode(&report(1, "a", address, &parts))?;
+        let started = Instant::now();
+        for _ in 0..DECODED {
+            std::hint::black_box(decode::<AgentReport>(&body)?);
+        }
+        let micros = started.elapsed().as_secs_f64() * 1e6 / f64::from(DECODED);
+        points.push((f64::from(count), micros));
+    }
+    output.figure("owner/decoding a report", "attempt", "us", points);
     Ok(())
 }
 
--- a/crates/scenarios/examples/slopes/probe.rs
+++ b/crates/scenarios/examples/slopes/probe.rs
@@ -27,7 +27,7 @@
 /// Name of the probe's worker.
 const WORKER_NAME: &str = "probe";
 /// Size of the probe's worker, which alone has room for [`PROBE_TASK`].
-const PROBE_WORKER: WorkerShape = WorkerShape {
+pub(crate) const PROBE_WORKER: WorkerShape = WorkerShape {
     cores: 8000,
     memory_mb: 262_144,
     accelerators: 32,
--- a/crates/scenarios/examples/slopes/reporters.rs
+++ b/crates/scenarios/examples/slopes/reporters.rs
@@ -103,7 +103,8 @@
     }
 }
 
-fn report(
+/// Returns the report of one fake agent.
+pub(crate) fn report(
     number: usize,
     data_centre: &str,
     address: SocketAddr,
