Stop contending for a data centre when relays are chosen

Cause: before the first relays are announced every agent contends for the ownership, and none ever stopped. Each contender reads the table twice a second.

Change: an agent that is no contender and holds no lease ends its contention. An owner keeps its lease, because a takeover would interrupt starts.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,11 +1,12 @@
 //! The agent beside a worker and its backend server.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use compio::runtime::JoinHandle;
 use log::info;
 use log::warn;
 use opentelemetry::metrics::Counter;
@@ -99,7 +100,8 @@
     requests: Counter<u64>,
     /// Starts with the planned stop.
     drain: Drain,
-    contending: Cell<bool>,
+    /// Contention for the ownership; dropping it ends the contention.
+    contending: RefCell<Option<JoinHandle<()>>>,
 }
 
 /// Lets tasks start only under a recent view in which the data centre is in service.
@@ -211,7 +213,7 @@
             metrics,
             requests,
             drain: Drain::new(),
-            contending: Cell::new(false),
+            contending: RefCell::new(None),
             settings,
         };
         Ok(Self {
@@ -242,9 +244,8 @@
         shared.slots.drain();
         shared.sync.set_draining(true);
         let limit = Duration::from_millis(shared.settings.common.drain_ms);
-        if shared.contending.get()
-            && let Err(error) = shared.ownership.release().await
-        {
+        let is_contending = shared.contending.borrow().is_some();
+        if is_contending && let Err(error) = shared.ownership.release().await {
             warn!(process = name; "{error}");
         }
         bounded(limit, shared.slots.idle()).await;
@@ -384,11 +385,17 @@
                 .iter()
                 .take(MAX_CONTENDERS)
                 .any(|relay| relay.process == *name);
-        if !is_contender || self.view.age().is_none() || self.contending.replace(true) {
-            return;
+        let mut contending = self.contending.borrow_mut();
+        if !is_contender {
+            // All agents contend until the first relays are chosen, and each contender costs the store
+            // two reads a second. An owner stays, because a takeover would interrupt starts.
+            if self.ownership.current().is_none() {
+                contending.take();
+            }
+        } else if contending.is_none() && self.view.age().is_some() {
+            let ownership = Rc::clone(&self.ownership);
+            *contending = Some(compio::runtime::spawn(async move { ownership.run().await }));
         }
-        let ownership = Rc::clone(&self.ownership);
-        compio::runtime::spawn(async move { ownership.run().await }).detach();
     }
 
     fn payload(&self) -> AgentPayload {
