--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod message;
 mod server;
+mod stream;
 
 pub use client::Client;
 pub use drain::Drain;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,7 +11,6 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use cyper_core::CompioTimer;
-use cyper_core::HyperStream;
 use futures_util::future::Either;
 use futures_util::future::select;
 use http::HeaderMap;
@@ -21,6 +20,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -34,6 +34,7 @@
 use crate::SECRET_HEADER;
 use crate::decode;
 use crate::encode;
+use crate::stream::PacedStream;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
@@ -53,6 +54,8 @@
     pub header_timeout: Duration,
     /// Time for the request body to arrive.
     pub body_timeout: Duration,
+    /// Time for which a peer may take in nothing of an answer.
+    pub write_timeout: Duration,
 }
 
 impl Default for ServerLimits {
@@ -63,6 +66,7 @@
             max_connections: 12_000,
             header_timeout: Duration::from_secs(15),
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(30),
         }
     }
 }
@@ -291,7 +295,7 @@
         .header_read_timeout(limits.header_timeout)
         .max_header_size(limits.max_header_bytes)
         .max_buf_size(limits.max_header_bytes.max(64 << 10))
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(PacedStream::new(stream, limits.write_timeout), service);
     let mut connection = pin!(connection);
     let finished = match select(connection.as_mut(), pin!(drain.started())).await {
         Either::Left((finished, _)) => finished,
@@ -324,6 +328,14 @@
     limits: ServerLimits,
 ) -> Result<Request> {
     let (head, body) = request.into_parts();
+    let too_large = || {
+        let detail = format!("the body is larger than {} bytes", limits.max_body_bytes);
+        Error::new(ErrorKind::TooLarge, detail)
+    };
+    // A declared length over the limit is refused before the body is read.
+    if usize::try_from(body.size_hint().lower()).map_or(true, |size| size > limits.max_body_bytes) {
+        return Err(too_large());
+    }
     let body = compio::time::timeout(
         limits.body_timeout,
         Limited::new(body, limits.max_body_bytes).collect(),
@@ -332,8 +344,7 @@
     .map_err(|_| Error::new(ErrorKind::RequestTimeout, "the body did not arrive in time"))?
     .map_err(|error| {
         if error.is::<http_body_util::LengthLimitError>() {
-            let detail = format!("the body is larger than {} bytes", limits.max_body_bytes);
-            return Error::new(ErrorKind::TooLarge, detail);
+            return too_large();
         }
         Error::new(
             ErrorKind::BadRequest,
