--- a/crates/calls/src/request.rs
+++ b/crates/calls/src/request.rs
@@ -122,7 +122,8 @@
             path.push('?');
             path.push_str(&request.query);
         }
-        let deadline = match request.header(DEADLINE_HEADER) {
+        let header = |name| own_header(request, name);
+        let deadline = match header(DEADLINE_HEADER)? {
             Some(text) => text
                 .parse()
                 .ok()
@@ -131,7 +132,7 @@
                 .ok_or_else(|| bad("nutmegwalk-deadline-ms is a positive number"))?,
             None => default_deadline(service),
         };
-        let repeat = match (request.header(REPEAT_HEADER), request.header(KEY_HEADER)) {
+        let repeat = match (header(REPEAT_HEADER)?, header(KEY_HEADER)?) {
             (None, None) => Repeat::Unmarked,
             (Some("always"), None) => Repeat::Always,
             (Some("never"), Some(key)) => Repeat::Never { key: key.into() },
@@ -152,6 +153,22 @@
     }
 }
 
+/// Returns a header with which the caller controls the call.
+///
+/// One that is not text or is given twice is refused: taking it as absent, or taking the first, could
+/// repeat a call that its caller marked as non-repeatable.
+fn own_header<'a>(request: &'a Request, name: &str) -> Result<Option<&'a str>> {
+    let mut values = request.headers.get_all(name).iter();
+    let value = values.next().map(HeaderValue::to_str).transpose();
+    match (value, values.next()) {
+        (Ok(value), None) => Ok(value),
+        _ => Err(Error::new(
+            ErrorKind::BadRequest,
+            format!("{name} has to be given once, as text"),
+        )),
+    }
+}
+
 /// Returns the headers that are passed on: all but those of the connection, those of this system
 /// and `left_out`.
 pub(crate) fn forwarded_headers(
