--- a/crates/calls/tests/decoders.rs
+++ b/crates/calls/tests/decoders.rs
@@ -34,6 +34,15 @@
 use nutmegwalk_net::decode;
 use nutmegwalk_net::encode;
 
+/// Path, query and the call's own headers.
+type HostileCall = (
+    String,
+    String,
+    Option<Vec<u8>>,
+    Option<Vec<u8>>,
+    Option<Vec<u8>>,
+);
+
 /// Cases of each property.
 const CASES: u32 = 2000;
 
@@ -184,7 +193,7 @@
         let header = || proptest::option::of(value());
         let path = prop_oneof!["/call/.{0,40}", "[^?#]{0,40}"];
         let strategy = (path, ".{0,20}", header(), header(), header());
-        let check = |(path, query, repeat, key, deadline): (String, String, Option<Vec<u8>>, Option<Vec<u8>>, Option<Vec<u8>>)| {
+        let check = |(path, query, repeat, key, deadline): HostileCall| {
             let mut headers = HeaderMap::new();
             let values = [(REPEAT_HEADER, &repeat), (KEY_HEADER, &key), (DEADLINE_HEADER, &deadline)];
             for (name, value) in values {
