--- a/crates/node/tests/common/deployment.rs
+++ b/crates/node/tests/common/deployment.rs
@@ -206,6 +206,7 @@
             memory_mb: 1000,
             accelerators: 8,
             entries: vec![entry_address],
+            far_entries: Vec::new(),
         };
         let agent = Agent::bind(settings, NodeOptions::new()).await.unwrap();
         let agent_address = agent.local_address();
--- a/crates/scenarios/examples/slopes/probe.rs
+++ b/crates/scenarios/examples/slopes/probe.rs
@@ -85,6 +85,7 @@
             memory_mb: PROBE_WORKER.memory_mb,
             accelerators: PROBE_WORKER.accelerators,
             entries: vec![entry.address],
+            far_entries: Vec::new(),
         };
         let stopping = Arc::new(AtomicBool::new(false));
         let seen = Arc::clone(&stopping);
--- a/crates/scenarios/tests/owner.rs
+++ b/crates/scenarios/tests/owner.rs
@@ -287,6 +287,7 @@
             memory_mb: 256_000,
             accelerators: 8,
             entries,
+            far_entries: Vec::new(),
         };
         // Beyond the gang lease, for which the tasks live without any renewal.
         let isolated_after = Duration::from_secs(14);
