--- a/crates/scenarios/src/platform/events.rs
+++ b/crates/scenarios/src/platform/events.rs
@@ -107,7 +107,8 @@
 /// Returns the longest time for which some, but not all, members of an attempt were running.
 ///
 /// Members that have finished by themselves count as running. `events` are in order of time, and `now`
-/// ends the time of attempts that are still running in part.
+/// ends the time of attempts that are still running in part. The size of a gang is the largest that any
+/// event of its job names: members other than the lead are started without the list of all members.
 #[must_use]
 pub fn longest_partial_run(events: &[Event], now: Duration) -> Duration {
     #[derive(Default)]
@@ -116,6 +117,11 @@
         finished: BTreeSet<u32>,
         partial_since: Option<Duration>,
     }
+    let mut sizes: BTreeMap<&str, usize> = BTreeMap::new();
+    for event in events {
+        let size = sizes.entry(&*event.job).or_default();
+        *size = event.gang_size.max(*size);
+    }
     let mut gangs: BTreeMap<(&str, Attempt), Gang> = BTreeMap::new();
     let mut longest = Duration::ZERO;
     for event in events {
@@ -131,8 +137,8 @@
                 }
             }
         }
-        let is_partial =
-            !gang.running.is_empty() && gang.running.len() + gang.finished.len() < event.gang_size;
+        let is_partial = !gang.running.is_empty()
+            && gang.running.len() + gang.finished.len() < sizes[&*event.job];
         if is_partial {
             gang.partial_since.get_or_insert(event.at);
         } else if let Some(since) = gang.partial_since.take() {
--- a/crates/scenarios/src/runner/judge.rs
+++ b/crates/scenarios/src/runner/judge.rs
@@ -150,8 +150,8 @@
 impl Run {
     /// Judges the whole run.
     pub(crate) fn judge(&self) -> Report {
+        let events = self.events();
         let deployment = self.deployment.borrow();
-        let events = deployment.platform.events();
         let now = deployment.platform.now();
         let executions = deployment
             .executions
--- a/crates/scenarios/src/runner/state.rs
+++ b/crates/scenarios/src/runner/state.rs
@@ -45,8 +45,20 @@
         self.table().jobs(&ids).into_iter().flatten().collect()
     }
 
-    fn events(&self) -> Vec<Event> {
-        self.deployment.borrow().platform.events()
+    /// Returns the log of the platform, with the size of each gang as it was submitted.
+    pub(crate) fn events(&self) -> Vec<Event> {
+        let jobs = self.jobs.borrow();
+        let sizes: BTreeMap<&JobId, usize> = jobs
+            .iter()
+            .filter_map(|job| Some((job.id.as_ref()?, job.request.tasks as usize)))
+            .collect();
+        let mut events = self.deployment.borrow().platform.events();
+        for event in &mut events {
+            if let Some(size) = sizes.get(&event.job) {
+                event.gang_size = *size;
+            }
+        }
+        events
     }
 
     fn is_busy(&self, data_centre: &str) -> bool {
