Count only servers that stay for the limit of ejections

Cause: the limit of half a service's servers counted servers that leave, and a leaving server's latency counted as a peer's. Of two servers, the one that stayed could be ejected as slow while the other left, and calls were refused until its probe.

Change: ejections and latencies are counted over servers that do not leave.

Conclusion: the last server that stays is not ejected. A server that was ejected before the other one leaves still waits for its probe.

--- a/crates/calls/src/router/servers.rs
+++ b/crates/calls/src/router/servers.rs
@@ -225,12 +225,14 @@
     pub(super) fn record(&self, chosen: &Chosen, evidence: Evidence) {
         let server = &chosen.server;
         let servers = self.of(&server.entry.service);
-        let ejected = servers
+        // A server that leaves takes no calls, so the limit is half of those that stay.
+        let staying: Vec<&Rc<Server>> = servers.iter().filter(|peer| !peer.is_leaving()).collect();
+        let ejected = staying
             .iter()
             .filter(|peer| peer.health.borrow().is_ejected())
             .count();
-        let may_eject = ejected < servers.len() / 2;
-        let mut latencies_us: Vec<f64> = servers
+        let may_eject = ejected < staying.len() / 2;
+        let mut latencies_us: Vec<f64> = staying
             .iter()
             .filter(|peer| !Rc::ptr_eq(peer, server) && peer.distance == server.distance)
             .filter_map(|peer| peer.health.borrow().latency_us())
--- a/crates/calls/tests/routing.rs
+++ b/crates/calls/tests/routing.rs
@@ -77,6 +77,18 @@
 }
 
 cases! {
+    // Guards against the last server that stays being ejected because it is slower than one that leaves.
+    last_server_that_stays_is_not_ejected => {
+        let fleet = Fleet::start(2, 8).await;
+        let router = fleet.router();
+        assert_eq!(count(&outcomes(&router, 60).await, Outcome::Done), 60);
+        fleet.backends[1].state.delay.set(Duration::from_millis(60));
+        let mut entries = fleet.entries();
+        entries[0].leaving = true;
+        router.update_servers(entries);
+        assert_eq!(count(&outcomes(&router, 30).await, Outcome::Done), 30);
+    }
+
     // Guards against traffic over billed links while near servers can take the call, and against
     // bytes that nobody is billed for.
     nearest_first_and_cross_region_bytes => {
