--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -157,7 +157,8 @@
             ClaimsSettings::default(),
         );
         let router_settings =
-            RouterSettings::new(common.data_centre.clone(), common.region.clone());
+            RouterSettings::new(common.data_centre.clone(), common.region.clone())
+                .with_policy(options.routing);
         let router = Router::new(links.client.clone(), router_settings, Some(claims.clone()));
         let data_centres = Rc::new(DataCentres::new(view.clone(), links.client.clone()));
         let jobs = JobTable::new(acceptance.clone());
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use nutmegwalk_calls::RoutingPolicy;
 use nutmegwalk_fleet::Policy;
 use nutmegwalk_net::LinkFaults;
 
@@ -10,10 +11,11 @@
 pub struct NodeOptions {
     pub(crate) faults: Option<Arc<dyn LinkFaults>>,
     pub(crate) policy: Policy,
+    pub(crate) routing: RoutingPolicy,
 }
 
 impl NodeOptions {
-    /// Creates the options of production: no faults, the default policy.
+    /// Creates the options of production: no faults, the default policies.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
@@ -32,4 +34,11 @@
         self.policy = policy;
         self
     }
+
+    /// Sets the routing policy of an entry host.
+    #[must_use]
+    pub fn with_routing(mut self, routing: RoutingPolicy) -> Self {
+        self.routing = routing;
+        self
+    }
 }
