--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -467,7 +467,9 @@
                 self.gauges.record_owner(&summary);
             }
         }
-        if let Some(response) = handle_health(&request, &self.view, &self.drain, &self.metrics) {
+        if let Some(response) =
+            handle_health(&request, &self.view, &self.drain, &self.metrics, true)
+        {
             return response;
         }
         if let Some(response) = self.sync_server.handle(&request) {
--- a/crates/node/src/common.rs
+++ b/crates/node/src/common.rs
@@ -49,12 +49,14 @@
     view: &View,
     drain: &Drain,
     metrics: &Metrics,
+    is_warm: bool,
 ) -> Option<Response> {
     match &*request.path {
         "/healthz" if drain.is_started() => Some(Response::new(503, "draining\n")),
         "/healthz" if view.version() == 0 => {
             Some(Response::new(503, "the configuration is not known\n"))
         }
+        "/healthz" if !is_warm => Some(Response::new(503, "no backend server is known yet\n")),
         "/healthz" => Some(Response::new(200, "ready\n")),
         METRICS_PATH => Some(match metrics.to_text() {
             Ok(text) => {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -6,10 +6,12 @@
 mod lost;
 mod operators;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::Method;
 use log::info;
@@ -78,6 +80,9 @@
 /// Time for which a stopping entry host still serves, with `/healthz` at 503 and each answer closing its
 /// connection, so that the balancer and callers leave before idle connections are closed.
 const LEAVE_NOTICE: Duration = Duration::from_secs(2);
+/// Time within which the agents' reports reach an entry host that has just started: a poll of the agents,
+/// a relay and a poll between entry hosts, a second each.
+const WARM_UP: Duration = Duration::from_secs(3);
 /// Time between two removals of claims that are past their lifetime.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Lease of the dispatcher's duty.
@@ -111,6 +116,8 @@
     requests: Counter<u64>,
     /// Starts with the planned stop.
     drain: Drain,
+    /// Whether calls can be routed: backend servers are known, or there was time to learn of them.
+    warm: Cell<bool>,
     /// Starts when callers have been given time to leave.
     closing: Drain,
 }
@@ -162,7 +169,8 @@
             ClaimsSettings::default(),
         );
         let router_settings =
-            RouterSettings::new(common.data_centre.clone(), common.region.clone());
+            RouterSettings::new(common.data_centre.clone(), common.region.clone())
+                .with_policy(options.routing);
         let router = Router::new(links.client.clone(), router_settings, Some(claims.clone()));
         let data_centres = Rc::new(DataCentres::new(view.clone(), links.client.clone()));
         let jobs = JobTable::new(acceptance.clone());
@@ -227,6 +235,7 @@
             dispatch_lease,
             metrics,
             drain: Drain::new(),
+            warm: Cell::new(false),
             closing: Drain::new(),
             settings,
         };
@@ -314,7 +323,14 @@
     /// Keeps the router's servers and rates as the membership and the configuration say.
     async fn follow_members(&self) {
         let mut seen = None;
+        let mut known_since = None;
         while !self.closing.is_started() {
+            if !self.warm.get() && self.view.version() > 0 {
+                let since: &mut Instant = known_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= WARM_UP || !self.servers().is_empty() {
+                    self.warm.set(true);
+                }
+            }
             let newest = (self.membership.revision(), self.view.version());
             if seen != Some(newest) {
                 seen = Some(newest);
@@ -461,7 +477,13 @@
         if &*request.path == METRICS_PATH {
             self.record_gauges();
         }
-        if let Some(response) = handle_health(&request, &self.view, &self.drain, &self.metrics) {
+        if let Some(response) = handle_health(
+            &request,
+            &self.view,
+            &self.drain,
+            &self.metrics,
+            self.warm.get(),
+        ) {
             return response;
         }
         if let Some(response) = self.sync_server.handle(&request) {
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegwalk_calls::RoutingPolicy;
 use nutmegwalk_fleet::Policy;
 use nutmegwalk_net::LinkFaults;
 
@@ -13,10 +14,11 @@
     pub(crate) policy: Policy,
     pub(crate) silent_after: Option<Duration>,
     pub(crate) isolated_after: Option<Duration>,
+    pub(crate) routing: RoutingPolicy,
 }
 
 impl NodeOptions {
-    /// Creates the options of production: no faults, the default policy.
+    /// Creates the options of production: no faults, the default policies.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
@@ -50,4 +52,11 @@
         self.policy = policy;
         self
     }
+
+    /// Sets the routing policy of an entry host.
+    #[must_use]
+    pub fn with_routing(mut self, routing: RoutingPolicy) -> Self {
+        self.routing = routing;
+        self
+    }
 }
