Measure takeovers where only the first relays contend

Cause: since agents stop contending when relays are chosen, a takeover in a data centre with relays depends on three agents only, and was not measured.

Change: the part `takeover` also kills owners in data centres of 20 agents.

--- a/crates/scenarios/examples/slopes/failures.rs
+++ b/crates/scenarios/examples/slopes/failures.rs
@@ -13,11 +13,7 @@
 use nutmegwalk_scenarios::measures::percentile;
 use nutmegwalk_scenarios::platform::EventKind;
 
-/// Time for all takeovers.
-const TAKEOVER_TIME: Duration = Duration::from_secs(50);
 const WANTED_KILLS: usize = 100;
-/// Data centres whose owners are killed in each round.
-const DATA_CENTRES: usize = 20;
 
 fn owner_of(status: &Status, data_centre: &str) -> Option<(Box<str>, u64, bool)> {
     let one = status
@@ -31,16 +27,27 @@
     Some((one.owner.clone()?, one.epoch, is_planning))
 }
 
-/// Kills the owners of many data centres at once, again and again.
+/// Measures takeovers where all agents contend, and where only the first relays do.
 pub(crate) async fn takeover(output: &mut Output) -> Result<()> {
-    let names: Vec<String> = (0..DATA_CENTRES)
+    kill_owners(output, 20, 3, Duration::from_secs(45)).await?;
+    kill_owners(output, 3, 20, Duration::from_secs(20)).await
+}
+
+/// Kills the owners of all data centres at once, again and again, as far as `limit` allows.
+async fn kill_owners(
+    output: &mut Output,
+    data_centres: usize,
+    agents: u32,
+    limit: Duration,
+) -> Result<()> {
+    let names: Vec<String> = (0..data_centres)
         .map(|number| format!("d{number}"))
         .collect();
-    let sites: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 3)).collect();
+    let sites: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), agents)).collect();
     let mut bench = Bench::start(&sites, 1).await?;
     let started = Instant::now();
     let (mut won, mut reported) = (Vec::new(), Vec::new());
-    while won.len() < WANTED_KILLS && started.elapsed() < TAKEOVER_TIME {
+    while won.len() < WANTED_KILLS && started.elapsed() < limit {
         let status = bench.operator.status().await?;
         let mut waiting = Vec::new();
         for name in &names {
@@ -56,9 +63,9 @@
                 role.kill();
             }
         }
-        let limit = Instant::now() + Duration::from_secs(20);
+        let patience = Instant::now() + Duration::from_secs(20);
         let killed: Vec<String> = waiting.iter().map(|one| one.1.clone()).collect();
-        while !waiting.is_empty() && Instant::now() < limit {
+        while !waiting.is_empty() && Instant::now() < patience {
             compio::time::sleep(Duration::from_millis(25)).await;
             let status = bench.operator.status().await?;
             waiting.retain_mut(|(name, _, epoch, killed, is_won)| {
@@ -88,15 +95,12 @@
         compio::time::sleep(Duration::from_millis(2500)).await;
     }
     output.note(format!(
-        "takeover: {} kills, 3 agents in each of {DATA_CENTRES} data centres",
+        "takeover: {} kills, {agents} agents in each of {data_centres} data centres",
         won.len()
     ));
     for (what, times) in [
         ("a new epoch is seen by the entry host", &mut won),
-        (
-            "the new owner has the reports of both other agents",
-            &mut reported,
-        ),
+        ("the new owner has the reports of two agents", &mut reported),
     ] {
         output.note(format!(
             "takeover: from the kill until {what}: p50 {:.2} s, p99 {:.2} s, longest {:.2} s, {} times",
