Give a reclaimed shape back before a silent worker of the victim is settled

Cause: the owner gave the capacity of a stopped gang free only when every worker had answered or the quiet time of 15 s had passed, so a guaranteed shape came back after 22 s when one agent was dead. It also waited up to 4 s for the throttle before it asked for checkpoints. Change: throttle and checkpoint go out together; when an agent is silent, its worker takes nothing new, the capacity of the others is free at once, and the victim stays out of the queue until it is settled. Agents report to a new owner at once.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -310,15 +310,18 @@
         }
     }
 
-    /// Reports to the owner of the data centre: at once after a change, else once a second.
+    /// Reports to the owner of the data centre: at once after a change and to a new owner, else once a
+    /// second.
     async fn report(&self) {
-        let mut sent_sequence = None;
+        let mut sent_state = None;
         let mut last_sent: Option<Instant> = None;
         let mut failing = false;
         while !self.closing.is_started() {
-            let sequence = self.gangs.report().sequence;
+            let report = self.gangs.report();
+            // A new owner waits for the first report under its epoch.
+            let state = (report.sequence, report.epoch_floor);
             let is_due = last_sent.is_none_or(|sent| sent.elapsed() >= REPORT_INTERVAL);
-            if (is_due || sent_sequence != Some(sequence))
+            if (is_due || sent_state != Some(state))
                 && let Some(owner) = self.owner_row().and_then(|row| row.address.parse().ok())
             {
                 last_sent = Some(Instant::now());
@@ -329,7 +332,7 @@
                 {
                     Ok(answer) => {
                         self.gangs.acknowledge(answer.acknowledged);
-                        sent_sequence = Some(sequence);
+                        sent_state = Some(state);
                         failing = false;
                     }
                     Err(error) => {
--- a/crates/node/src/owner/stop.rs
+++ b/crates/node/src/owner/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join;
 use log::debug;
 use log::info;
 use log::warn;
@@ -118,24 +119,53 @@
         reason: StopReason,
         within: Duration,
     ) {
+        let stopped = self.release_and_settle(epoch, job, gang, within).await;
+        if self.is_finished(epoch, job, &stopped) {
+            self.finish(epoch, job);
+            return;
+        }
+        self.settle_stopped(epoch, job, reason, stopped.checkpoint_ms())
+            .await;
+    }
+
+    /// Stops a gang and returns once no part of it can run.
+    ///
+    /// With a silent worker that takes the quiet time, far longer than a guaranteed shape may take to
+    /// come back. The capacity of the workers that answered is therefore given free before, while the
+    /// job itself stays out of the queue, and nothing new is placed on the silent worker.
+    async fn release_and_settle(
+        &self,
+        epoch: Epoch,
+        job: &JobId,
+        gang: GangHandle<Running>,
+        within: Duration,
+    ) -> GangHandle<Stopped> {
         let driver = &self.inner.driver;
-        let stopped = if within.is_zero() {
-            driver.stop(gang).await
-        } else {
-            if let Err(error) = driver.throttle(&gang, RECLAIM_SHARE_PERCENT).await {
+        let throttled = driver.adopt(gang.spec().clone(), epoch);
+        let throttle = async {
+            if within.is_zero() {
+                return;
+            }
+            if let Err(error) = driver.throttle(&throttled, RECLAIM_SHARE_PERCENT).await {
                 debug!(job = &**job; "cannot throttle all tasks: {error}");
             }
-            driver.checkpoint_and_stop(gang, within).await
         };
+        let ((), releasing) = join(throttle, driver.release(gang, within)).await;
+        let silent = releasing.silent_workers();
+        if !silent.is_empty() {
+            info!(job = &**job; "waiting for silent workers to settle: {}", silent.join(", "));
+            self.with_term(epoch, |term| {
+                for worker in &silent {
+                    term.set_silent(worker);
+                }
+                term.withdraw(job);
+            });
+        }
+        let stopped = driver.settle(releasing).await;
         if !stopped.is_settled() {
             compio::time::sleep(self.inner.timings.gang.quiet()).await;
         }
-        if self.is_finished(epoch, job, &stopped) {
-            self.finish(epoch, job);
-            return;
-        }
-        self.settle_stopped(epoch, job, reason, stopped.checkpoint_ms())
-            .await;
+        stopped
     }
 
     /// Returns whether all tasks of a stopped gang had finished by themselves before.
@@ -222,10 +252,9 @@
     /// Stops what is left of a gang that ended early and puts its job back into the queue.
     async fn recover_gang(&self, epoch: Epoch, job: &JobId, gang: GangHandle<Running>) {
         let attempt = gang.spec().attempt;
-        let stopped = self.inner.driver.stop(gang).await;
-        if !stopped.is_settled() {
-            compio::time::sleep(self.inner.timings.gang.quiet()).await;
-        }
+        let stopped = self
+            .release_and_settle(epoch, job, gang, Duration::ZERO)
+            .await;
         if self.is_finished(epoch, job, &stopped) {
             self.finish(epoch, job);
             return;
--- a/crates/node/src/owner/term.rs
+++ b/crates/node/src/owner/term.rs
@@ -181,6 +181,15 @@
         attempt
     }
 
+    /// Keeps new tasks and reservations off a worker until its agent reports again.
+    pub(crate) fn set_silent(&mut self, worker: &str) {
+        let now = self.now();
+        self.fleet.set_worker_usable(worker, false, now);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.usable = false;
+        }
+    }
+
     /// Takes a job that does not run out of the planner.
     pub(crate) fn withdraw(&mut self, job: &str) {
         let now = self.now();
