Convert sizes and guarantees to the planner's types in one place

Cause: crates/node converted sizes, adjacency and guarantees to the planner's types by copies of what crates/config offers since it checks guarantees by the planner's embedding. Change: the owner and the dispatcher call WorkerShape::to_shape, Adjacency::to_planner and Guarantee::to_spec; the copies go. Behaviour is the same. Conclusion: a new field of a guarantee has one place where it is passed on.

--- a/crates/node/src/entry/dispatch.rs
+++ b/crates/node/src/entry/dispatch.rs
@@ -260,9 +260,8 @@
         .iter()
         .filter(|(_, data_centre)| {
             let per_rack = data_centre.racks.values().map(|rack| {
-                let room = crate::owner::shape(rack.shape);
-                u64::from(rack.workers)
-                    * u64::from(crate::owner::shape(request.shape).count_in(room))
+                let room = rack.shape.to_shape();
+                u64::from(rack.workers) * u64::from(request.shape.to_shape().count_in(room))
             });
             let room = match request.adjacency {
                 nutmegwalk_config::Adjacency::Rack => per_rack.max().unwrap_or(0),
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -14,8 +14,6 @@
 mod stop;
 mod term;
 
-pub(crate) use term::shape;
-
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/node/src/owner/reports.rs
+++ b/crates/node/src/owner/reports.rs
@@ -16,7 +16,6 @@
 use crate::owner::term::WorkerEntry;
 use crate::owner::term::job_spec;
 use crate::owner::term::judge_attempt;
-use crate::owner::term::shape;
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
@@ -212,7 +211,7 @@
         let spec = WorkerSpec {
             id: id.clone(),
             rack: report.rack.clone(),
-            shape: shape(report.shape),
+            shape: report.shape.to_shape(),
         };
         term.fleet.upsert_worker(spec, now);
         term.fleet.set_worker_usable(&id, usable, now);
--- a/crates/node/src/owner/term.rs
+++ b/crates/node/src/owner/term.rs
@@ -17,7 +17,6 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::WorkerId;
-use nutmegwalk_config::Adjacency;
 use nutmegwalk_config::Configuration;
 use nutmegwalk_config::WorkerShape;
 use nutmegwalk_fleet::Degraded;
@@ -26,7 +25,6 @@
 use nutmegwalk_fleet::JobSpec;
 use nutmegwalk_fleet::Placement;
 use nutmegwalk_fleet::Policy;
-use nutmegwalk_fleet::Shape;
 use nutmegwalk_fleet::StopReason;
 use nutmegwalk_gang::Attempt;
 use nutmegwalk_gang::GangEnd;
@@ -340,9 +338,9 @@
         record.customer.clone(),
         request.service.clone(),
         request.tasks,
-        shape(request.shape),
+        request.shape.to_shape(),
     )
-    .with_adjacency(adjacency(request.adjacency));
+    .with_adjacency(request.adjacency.to_planner());
     spec.guarantee = request.guarantee.clone();
     spec.declared_run_time = Duration::from_millis(request.declared_run_ms.unwrap_or(0));
     spec.checkpoint = Duration::from_millis(record.checkpoint_ms);
@@ -358,32 +356,13 @@
         for (name, guarantee) in &entry.guarantees {
             let is_home = &*guarantee.data_centre == data_centre;
             if is_home || guarantee.standby.as_deref() == Some(data_centre) {
-                specs.push(GuaranteeSpec {
-                    customer: customer.clone(),
-                    name: name.clone(),
-                    workers: guarantee.workers,
-                    shape: shape(guarantee.shape),
-                    adjacency: adjacency(guarantee.adjacency),
-                    reclaim_within: Duration::from_millis(guarantee.reclaim_within_ms),
-                });
+                specs.push(guarantee.to_spec(customer, name));
             }
         }
     }
     specs
 }
 
-/// Returns the planner's form of a size.
-pub(crate) fn shape(shape: WorkerShape) -> Shape {
-    Shape::new(shape.cores, shape.memory_mb, shape.accelerators)
-}
-
-fn adjacency(adjacency: Adjacency) -> nutmegwalk_fleet::Adjacency {
-    match adjacency {
-        Adjacency::Rack => nutmegwalk_fleet::Adjacency::Rack,
-        Adjacency::DataCentre => nutmegwalk_fleet::Adjacency::DataCentre,
-    }
-}
-
 /// What the reports of an attempt's workers say together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AttemptView {
