Add the job model, change feeds and the supervision of a worker

Cause: the users' platform speaks of jobs with steps, gangs, occurrences and attempts, tells about changes by a feed, and lets only the process beside a worker order it; the product had none of these. Change: crates/workload (job model and durable progress), store::feed (following a collection), base::clock (a clock that goes on while the host is suspended), base::signal, crates/supervisor (lease, orders and ends of one worker behind the trait WorkerPort).

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -118,6 +118,8 @@
     StoreUnavailable => "store_unavailable", 503, 10, NotRun;
     /// A write to the store may or may not have taken effect.
     StoreUnknown => "store_unknown", 503, 11, Unknown;
+    /// The store no longer has the changes after the version asked for.
+    HistoryLost => "history_lost", 410, 10, NotRun;
     /// The command carries an epoch that was superseded.
     StaleEpoch => "stale_epoch", 409, 12, NotRun;
     /// The process has no recent view of the configuration and may not start anything.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,11 +1,13 @@
-//! Shared vocabulary of the system: ids, error kinds, secrets, backoff, logging and metrics.
+//! Shared vocabulary of the system: ids, error kinds, secrets, clocks, backoff, logging and metrics.
 
 pub mod backoff;
+pub mod clock;
 pub mod error;
 pub mod ids;
 pub mod logging;
 pub mod metrics;
 pub mod secret;
+pub mod signal;
 
 pub use error::Error;
 pub use error::ErrorKind;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,7 +1,7 @@
 //! Table and object store adapters and the batching store client.
 //!
-//! [`TableStore`] and [`ObjectStore`] are the narrow interfaces to the platform; another platform is
-//! attached by implementing them. [`HttpStore`] speaks the platform's HTTP, and [`MemoryStore`] keeps
+//! [`TableStore`], [`ObjectStore`] and [`ChangeFeed`] are the narrow interfaces to the platform; another
+//! platform is attached by implementing them. [`HttpStore`] speaks the platform's HTTP, and [`MemoryStore`] keeps
 //! everything in memory, for tests and the stand-in. All processes reach the store through a
 //! [`StoreClient`].
 
@@ -10,6 +10,7 @@
 mod budget;
 mod client;
 mod duty;
+mod feed;
 mod http;
 mod memory;
 mod part;
@@ -22,6 +23,13 @@
 pub use duty::Counters;
 pub use duty::Duty;
 pub use duty::DutyCounters;
+pub use feed::Change;
+pub use feed::ChangeFeed;
+pub use feed::Changes;
+pub use feed::FollowTimings;
+pub use feed::Follower;
+pub use feed::Page;
+pub use feed::Replica;
 pub use http::GetRequest;
 pub use http::HttpStore;
 pub use http::PROCESS_HEADER;
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -2,21 +2,31 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::ops::Bound;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::future::ready;
 
+use crate::Change;
+use crate::ChangeFeed;
+use crate::Changes;
 use crate::Condition;
 use crate::ObjectStore;
+use crate::Page;
 use crate::Row;
 use crate::RowVersion;
 use crate::TableStore;
 use crate::Transaction;
 use crate::TransactionOutcome;
 use crate::Write;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 
 /// Table and object store of one process, without faults.
@@ -30,6 +40,11 @@
     rows: BTreeMap<Box<str>, (RowVersion, Box<str>)>,
     objects: BTreeMap<Box<str>, Bytes>,
     last_version: RowVersion,
+    /// Changes after `forgotten`, oldest first.
+    history: Vec<Change>,
+    /// Version up to which the history was dropped.
+    forgotten: RowVersion,
+    wakers: Vec<Waker>,
 }
 
 impl MemoryStore {
@@ -57,13 +72,19 @@
         for write in &transaction.writes {
             match write {
                 Write::Put { key, value } => {
-                    state.rows.insert(key.clone(), (version, value.clone()));
+                    let stored = (version, value.clone());
+                    state.history.push(Change::Put(to_row(key, &stored)));
+                    state.rows.insert(key.clone(), stored);
                 }
                 Write::Delete { key } => {
-                    state.rows.remove(key);
+                    if state.rows.remove(key).is_some() {
+                        let key = key.clone();
+                        state.history.push(Change::Delete { key, version });
+                    }
                 }
             }
         }
+        state.wakers.drain(..).for_each(Waker::wake);
         TransactionOutcome::Committed { version }
     }
 
@@ -92,6 +113,27 @@
             .collect()
     }
 
+    /// Drops the history of changes; followers have to read everything again.
+    pub fn forget_history(&self) {
+        let mut state = self.state.borrow_mut();
+        state.history.clear();
+        state.forgotten = state.last_version;
+        state.wakers.drain(..).for_each(Waker::wake);
+    }
+
+    /// Returns the changes under `prefix` after version `after`, or `None` when they were forgotten.
+    fn changes_after(&self, prefix: &str, after: RowVersion) -> Option<Changes> {
+        let state = self.state.borrow();
+        let changes = state.history.iter().filter(|change| {
+            let (key, version) = key_and_version(change);
+            version > after && key.starts_with(prefix)
+        });
+        (after >= state.forgotten).then(|| Changes {
+            changes: changes.cloned().collect(),
+            version: state.last_version,
+        })
+    }
+
     /// Writes an object at once.
     pub fn write_object(&self, name: &str, content: Bytes) {
         self.state.borrow_mut().objects.insert(name.into(), content);
@@ -123,6 +165,60 @@
     }
 }
 
+fn key_and_version(change: &Change) -> (&str, RowVersion) {
+    match change {
+        Change::Put(row) => (&row.key, row.version),
+        Change::Delete { key, version } => (key, *version),
+    }
+}
+
+impl ChangeFeed for MemoryStore {
+    fn page<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Page>> {
+        let mut rows = self.read_range(prefix, after, limit + 1);
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        let version = self.state.borrow().last_version;
+        ready(Ok(Page {
+            rows,
+            version,
+            has_more,
+        }))
+        .boxed_local()
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: RowVersion,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Changes>> {
+        let changed = poll_fn(move |context| match self.changes_after(prefix, after) {
+            Some(changes) if changes.changes.is_empty() => {
+                let waker = context.waker().clone();
+                self.state.borrow_mut().wakers.push(waker);
+                Poll::Pending
+            }
+            changes => Poll::Ready(changes),
+        });
+        async move {
+            let changes = match compio::time::timeout(wait, changed).await {
+                Ok(changes) => changes,
+                Err(_) => self.changes_after(prefix, after),
+            };
+            changes.ok_or_else(|| {
+                let detail = format!("the changes after version {after} were forgotten");
+                Error::new(ErrorKind::HistoryLost, detail)
+            })
+        }
+        .boxed_local()
+    }
+}
+
 impl TableStore for MemoryStore {
     fn transact<'a>(
         &'a self,
--- /dev/null
+++ b/crates/supervisor/src/orders.rs
@@ -0,0 +1,250 @@
+//! Carrying out the owner's orders.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use log::info;
+use log::warn;
+
+use crate::Orders;
+use crate::OrdersAnswer;
+use crate::Refusal;
+use crate::RunningTask;
+use crate::StartOrder;
+use crate::StartRequest;
+use crate::StartResult;
+use crate::Supervisor;
+use crate::TaskOutcome;
+use crate::TaskRun;
+use crate::WorkerState;
+use crate::supervisor::Inner;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_workload::WorkerRef;
+
+/// Tries of an order that the worker does not answer. A repeated start or stop of the same run is harmless.
+const ORDER_TRIES: u32 = 4;
+/// Time for an answer to an order; the worker is on the same host.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+
+impl Supervisor {
+    /// Carries out orders and returns what became of each.
+    ///
+    /// # Errors
+    /// `stale_epoch` when a later owner has given orders; `not_found` when another life of the worker is
+    /// there.
+    pub async fn carry_out(&self, orders: Orders) -> Result<OrdersAnswer> {
+        self.admit(&orders)?;
+        let inner = &*self.inner;
+        let stops = join_all(orders.stops.iter().map(|run| inner.stop(&orders, run))).await;
+        let starts = join_all(orders.starts.iter().flat_map(|order| {
+            order
+                .tasks
+                .iter()
+                .map(|index| inner.start(&orders, order, *index))
+        }))
+        .await;
+        for pace in &orders.paces {
+            let request = inner
+                .port
+                .pace(&orders.worker, &pace.run, pace.percent, orders.epoch);
+            if let Err(error) = bounded(request).await {
+                warn!(task:% = pace.run.task, percent = pace.percent; "cannot set the pace: {error}");
+            }
+        }
+        Ok(OrdersAnswer { starts, stops })
+    }
+
+    fn admit(&self, orders: &Orders) -> Result<()> {
+        let mut state = self.inner.state.borrow_mut();
+        if orders.epoch < state.epoch {
+            let detail = format!("epoch {} was superseded by {}", orders.epoch, state.epoch);
+            return Err(Error::new(ErrorKind::StaleEpoch, detail));
+        }
+        state.epoch = orders.epoch;
+        match &state.worker {
+            Some(worker) if *worker.worker() == orders.worker => Ok(()),
+            _ => {
+                let detail = format!("worker {} is not here", orders.worker.id);
+                Err(Error::new(ErrorKind::NotFound, detail))
+            }
+        }
+    }
+}
+
+impl Inner {
+    /// Starts one task, repeating the request while the worker does not answer.
+    async fn start(&self, orders: &Orders, order: &StartOrder, index: u32) -> StartResult {
+        let run = order.task_run(index);
+        let mut outcome = TaskOutcome::Unknown;
+        for attempt in 0..ORDER_TRIES {
+            let request = match self.start_request(orders, order, &run) {
+                Ok(request) => request,
+                Err(refusal) => {
+                    // After a request without an answer the run may still be started.
+                    if attempt == 0 || refusal == Refusal::OtherWorker {
+                        outcome = TaskOutcome::Refused(refusal);
+                    }
+                    break;
+                }
+            };
+            match bounded(self.port.start(&request)).await {
+                Ok(answer) => {
+                    outcome = match answer.refusal {
+                        None => {
+                            self.note_start(&orders.worker, &run, answer.clock_ms);
+                            TaskOutcome::Done
+                        }
+                        Some(refusal) => TaskOutcome::Refused(refusal),
+                    };
+                    break;
+                }
+                Err(error) => {
+                    warn!(task:% = run.task, run = run.run; "no answer to a start: {error}");
+                }
+            }
+        }
+        info!(
+            task:% = run.task,
+            run = run.run,
+            epoch = orders.epoch,
+            worker = &*orders.worker.id,
+            outcome:? = outcome;
+            "start"
+        );
+        StartResult { run, outcome }
+    }
+
+    /// Builds the request, unless this agent knows that the task must not be started.
+    fn start_request(
+        &self,
+        orders: &Orders,
+        order: &StartOrder,
+        run: &TaskRun,
+    ) -> Result<StartRequest, Refusal> {
+        let mut state = self.state.borrow_mut();
+        if state.epoch > orders.epoch {
+            return Err(Refusal::StaleEpoch);
+        }
+        let Some(worker) = &state.worker else {
+            return Err(Refusal::OtherWorker);
+        };
+        if *worker.worker() != orders.worker {
+            return Err(Refusal::OtherWorker);
+        }
+        if worker.announcement.state != WorkerState::Ready {
+            return Err(Refusal::Draining);
+        }
+        let Some(lease_until_clock_ms) = state.lease_until_ms(worker, &self.timings) else {
+            return Err(Refusal::LeasePassed);
+        };
+        if let Some(worker) = &mut state.worker
+            && let Some(clock) = &mut worker.clock
+        {
+            clock.renewing(lease_until_clock_ms);
+        }
+        Ok(StartRequest {
+            worker: orders.worker.clone(),
+            run: run.clone(),
+            payload: order.payload.clone(),
+            checkpoint: order.checkpoint.clone(),
+            ticket: order.ticket.clone(),
+            lease_until_clock_ms,
+            epoch: orders.epoch,
+        })
+    }
+
+    fn note_start(&self, asked: &WorkerRef, run: &TaskRun, clock_ms: Option<u64>) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Some(worker) = &mut state.worker else {
+            return;
+        };
+        if worker.worker() != asked {
+            return;
+        }
+        if let (Some(clock), Some(clock_ms)) = (&mut worker.clock, clock_ms) {
+            clock.observe(clock_ms, now);
+            worker.recent_starts.push((run.clone(), clock_ms));
+        }
+        if !worker.has_run(run) {
+            worker.running.push(RunningTask {
+                run: run.clone(),
+                checkpoint: None,
+                progress_percent: 0,
+                recent: None,
+            });
+        }
+    }
+
+    /// Stops one run and finds out whether it was there.
+    async fn stop(&self, orders: &Orders, run: &TaskRun) -> StartResult {
+        let mut outcome = TaskOutcome::Unknown;
+        for _ in 0..ORDER_TRIES {
+            match bounded(self.port.stop(&orders.worker, run, orders.epoch)).await {
+                Ok(()) => {
+                    outcome = self.after_stop(&orders.worker, run).await;
+                    break;
+                }
+                Err(error) if error.kind == ErrorKind::StaleEpoch => {
+                    outcome = TaskOutcome::Refused(Refusal::StaleEpoch);
+                    break;
+                }
+                Err(error) if error.kind == ErrorKind::NotFound => {
+                    outcome = TaskOutcome::Refused(Refusal::OtherWorker);
+                    break;
+                }
+                Err(error) => {
+                    warn!(task:% = run.task, run = run.run; "no answer to a stop: {error}");
+                }
+            }
+        }
+        info!(
+            task:% = run.task,
+            run = run.run,
+            epoch = orders.epoch,
+            worker = &*orders.worker.id,
+            outcome:? = outcome;
+            "stop"
+        );
+        StartResult {
+            run: run.clone(),
+            outcome,
+        }
+    }
+
+    /// Looks at the worker after it has taken a stop: the run ends soon, has ended, or was never there.
+    async fn after_stop(&self, asked: &WorkerRef, run: &TaskRun) -> TaskOutcome {
+        let request = {
+            let state = self.state.borrow();
+            match &state.worker {
+                Some(worker) if worker.worker() == asked => {
+                    state.hold_request(worker, &self.timings, Duration::ZERO)
+                }
+                _ => return TaskOutcome::Refused(Refusal::OtherWorker),
+            }
+        };
+        if let Err(error) = self.hold(&request).await {
+            warn!(task:% = run.task, run = run.run; "cannot look at the worker after a stop: {error}");
+            return TaskOutcome::Unknown;
+        }
+        let state = self.state.borrow();
+        match &state.worker {
+            Some(worker) if worker.worker() == asked && !worker.has_run(run) => TaskOutcome::Absent,
+            Some(worker) if worker.worker() == asked => TaskOutcome::Done,
+            _ => TaskOutcome::Refused(Refusal::OtherWorker),
+        }
+    }
+}
+
+async fn bounded<T>(request: impl Future<Output = Result<T>>) -> Result<T> {
+    match compio::time::timeout(ORDER_TIMEOUT, request).await {
+        Ok(result) => result,
+        Err(_) => {
+            let detail = format!("no answer in {ORDER_TIMEOUT:?}");
+            Err(Error::new(ErrorKind::UnknownOutcome, detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/supervisor/src/supervisor.rs
@@ -0,0 +1,428 @@
+//! State of the supervision, and the task that renews the lease.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::info;
+use log::warn;
+
+use crate::Announcement;
+use crate::EndedTask;
+use crate::HoldAnswer;
+use crate::HoldRequest;
+use crate::LeaseClock;
+use crate::ReportAnswer;
+use crate::RunningTask;
+use crate::TaskRun;
+use crate::WorkerPort;
+use crate::WorkerStatus;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_base::signal::Signal;
+use nutmegwalk_workload::WorkerRef;
+
+/// Lengths of time of the supervision.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SupervisorTimings {
+    /// Longest lease that the worker grants.
+    pub max_lease: Duration,
+    /// Time for which the worker is asked to wait for an end while tasks run. The lease is renewed this
+    /// often, so that it outlasts a restart of the agent.
+    pub busy_wait: Duration,
+    /// Time for which the worker is asked to wait for an end while nothing runs.
+    pub idle_wait: Duration,
+    /// Interval of looks while ends wait for the owner's acknowledgement.
+    pub unacknowledged_wait: Duration,
+    /// Time for an answer of the worker beyond what it was asked to wait; the worker is on the same host.
+    pub answer_timeout: Duration,
+    /// Pause after a failed look.
+    pub retry_pause: Duration,
+}
+
+impl Default for SupervisorTimings {
+    fn default() -> Self {
+        Self {
+            max_lease: Duration::from_secs(6),
+            busy_wait: Duration::from_millis(1000),
+            idle_wait: Duration::from_millis(2000),
+            unacknowledged_wait: Duration::from_millis(300),
+            answer_timeout: Duration::from_millis(400),
+            retry_pause: Duration::from_millis(200),
+        }
+    }
+}
+
+/// Supervises one worker; clones share everything.
+#[derive(Clone)]
+pub struct Supervisor {
+    pub(crate) inner: Rc<Inner>,
+}
+
+pub(crate) struct Inner {
+    pub(crate) port: Rc<dyn WorkerPort>,
+    pub(crate) timings: SupervisorTimings,
+    pub(crate) state: RefCell<State>,
+    /// Raised when the owner should hear from the agent at once.
+    changed: Signal,
+    /// Raised when the worker should be looked at at once.
+    poke: Signal,
+    started_at: Instant,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) worker: Option<Supervised>,
+    /// Highest fencing epoch seen.
+    pub(crate) epoch: Epoch,
+    /// Instant until which the lease may last.
+    pub(crate) horizon: Option<Instant>,
+    /// Epoch that the worker refused since it has seen a higher one; it is not used again.
+    refused_epoch: Epoch,
+}
+
+/// The current life of the worker.
+#[derive(Debug)]
+pub(crate) struct Supervised {
+    pub(crate) announcement: Announcement,
+    pub(crate) heard_at: Instant,
+    pub(crate) clock: Option<LeaseClock>,
+    pub(crate) answered_at: Option<Instant>,
+    /// Ends up to this number are stored by the owner.
+    pub(crate) acknowledged: u64,
+    pub(crate) running: Vec<RunningTask>,
+    pub(crate) ended: Vec<EndedTask>,
+    /// Runs that were started, with the worker's clock at that time; a list of the worker that is older
+    /// does not contain them.
+    pub(crate) recent_starts: Vec<(TaskRun, u64)>,
+}
+
+impl Supervised {
+    fn new(announcement: Announcement, heard_at: Instant) -> Self {
+        Self {
+            announcement,
+            heard_at,
+            clock: None,
+            answered_at: None,
+            acknowledged: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            recent_starts: Vec::new(),
+        }
+    }
+
+    pub(crate) fn worker(&self) -> &WorkerRef {
+        &self.announcement.worker
+    }
+
+    /// Returns whether a run is on the worker or among its ends.
+    pub(crate) fn has_run(&self, run: &TaskRun) -> bool {
+        self.running.iter().any(|task| task.run == *run)
+            || self.ended.iter().any(|end| end.run == *run)
+    }
+
+    /// Takes in a list; returns whether the owner should hear of it at once.
+    fn absorb(&mut self, answer: HoldAnswer) -> bool {
+        let mut running = answer.running;
+        self.recent_starts
+            .retain(|(_, clock_ms)| *clock_ms > answer.clock_ms);
+        let missing: Vec<RunningTask> = self
+            .running
+            .iter()
+            .filter(|task| {
+                self.recent_starts.iter().any(|(run, _)| *run == task.run)
+                    && !running.iter().any(|listed| listed.run == task.run)
+            })
+            .cloned()
+            .collect();
+        running.extend(missing);
+        let ended: Vec<EndedTask> = answer
+            .ended
+            .into_iter()
+            .filter(|end| end.number > self.acknowledged)
+            .collect();
+        let is_news = ended.iter().any(|end| !self.ended.contains(end))
+            || running.len() != self.running.len()
+            || running
+                .iter()
+                .any(|task| !self.running.iter().any(|known| known.run == task.run));
+        self.running = running;
+        self.ended = ended;
+        is_news
+    }
+}
+
+impl Supervisor {
+    /// Creates the supervision of the worker behind `port`.
+    #[must_use]
+    pub fn new(port: Rc<dyn WorkerPort>, timings: SupervisorTimings) -> Self {
+        Self {
+            inner: Rc::new(Inner {
+                port,
+                timings,
+                state: RefCell::new(State::default()),
+                changed: Signal::new(),
+                poke: Signal::new(),
+                started_at: clock::now(),
+            }),
+        }
+    }
+
+    /// Takes in a heartbeat; returns false for a late one, which changes nothing.
+    pub fn announce(&self, announcement: Announcement) -> bool {
+        let now = clock::now();
+        let mut state = self.inner.state.borrow_mut();
+        if let Some(current) = &mut state.worker {
+            let known = &current.announcement;
+            if announcement.worker == known.worker {
+                if announcement.sequence <= known.sequence {
+                    return false;
+                }
+                let is_news = announcement.state != known.state
+                    || announcement.labels != known.labels
+                    || announcement.capacity != known.capacity;
+                current.announcement = announcement;
+                current.heard_at = now;
+                if is_news {
+                    self.inner.changed.raise();
+                }
+                return true;
+            }
+            if announcement.worker.born_unix_ms < known.worker.born_unix_ms {
+                return false;
+            }
+        }
+        info!(
+            worker = &*announcement.worker.id,
+            born_unix_ms = announcement.worker.born_unix_ms;
+            "the worker has announced itself"
+        );
+        state.worker = Some(Supervised::new(announcement, now));
+        state.refused_epoch = 0;
+        self.inner.changed.raise();
+        self.inner.poke.raise();
+        true
+    }
+
+    /// Notes that a worker has left for good.
+    pub fn leave(&self, id: &str) {
+        let mut state = self.inner.state.borrow_mut();
+        if state
+            .worker
+            .as_ref()
+            .is_some_and(|worker| &*worker.worker().id == id)
+        {
+            info!(worker = id; "the worker has left");
+            state.worker = None;
+            self.inner.changed.raise();
+        }
+    }
+
+    /// Returns what is known about the worker; `None` before its first heartbeat.
+    #[must_use]
+    pub fn status(&self) -> Option<WorkerStatus> {
+        let now = clock::now();
+        let state = self.inner.state.borrow();
+        let worker = state.worker.as_ref()?;
+        let since = |instant: Instant| as_ms(now.saturating_duration_since(instant));
+        Some(WorkerStatus {
+            announcement: worker.announcement.clone(),
+            heartbeat_age_ms: since(worker.heard_at),
+            answer_age_ms: worker.answered_at.map(since),
+            has_lapsed: match &worker.clock {
+                Some(clock) => clock.has_lapsed(now),
+                None => {
+                    now.saturating_duration_since(self.inner.started_at)
+                        > self.inner.timings.max_lease * 2
+                }
+            },
+            running: worker.running.clone(),
+            ended: worker.ended.clone(),
+        })
+    }
+
+    /// Returns the highest fencing epoch seen.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.inner.state.borrow().epoch
+    }
+
+    /// Takes in the owner's answer to a report that was sent at `sent_at`.
+    pub fn apply_answer(&self, answer: &ReportAnswer, sent_at: Instant) {
+        let mut state = self.inner.state.borrow_mut();
+        if answer.epoch < state.epoch {
+            return;
+        }
+        let is_first = state.epoch < answer.epoch;
+        state.epoch = answer.epoch;
+        let mut is_renewable = false;
+        if answer.hold_for_ms > 0 {
+            let horizon = sent_at + Duration::from_millis(answer.hold_for_ms);
+            is_renewable = state.horizon.is_none_or(|known| known < clock::now());
+            state.horizon = state.horizon.max(Some(horizon));
+        }
+        let mut is_acknowledged = false;
+        if let Some(worker) = &mut state.worker
+            && answer.worker.as_ref() == Some(worker.worker())
+            && answer.acknowledged > worker.acknowledged
+        {
+            worker.acknowledged = answer.acknowledged;
+            let acknowledged = worker.acknowledged;
+            worker.ended.retain(|end| end.number > acknowledged);
+            is_acknowledged = true;
+        }
+        if is_first || is_renewable || is_acknowledged {
+            self.inner.poke.raise();
+        }
+    }
+
+    /// Waits until the owner should hear from the agent at once.
+    pub async fn changed(&self) {
+        self.inner.changed.raised().await;
+    }
+
+    /// Renews the lease and follows what runs, until the task is dropped.
+    pub async fn run(&self) {
+        let inner = &self.inner;
+        loop {
+            let Some((request, is_unacknowledged)) = inner.next_hold() else {
+                inner.pause(inner.timings.idle_wait).await;
+                continue;
+            };
+            match inner.hold(&request).await {
+                Ok(()) if is_unacknowledged => inner.pause(inner.timings.unacknowledged_wait).await,
+                Ok(()) => {}
+                Err(error) => {
+                    if error.kind == ErrorKind::StaleEpoch {
+                        inner.state.borrow_mut().refused_epoch = request.epoch;
+                    }
+                    warn!(worker = &*request.worker.id; "cannot look at the worker: {error}");
+                    inner.pause(inner.timings.retry_pause).await;
+                }
+            }
+        }
+    }
+}
+
+impl Inner {
+    /// Waits until the worker should be looked at, at most for `limit`.
+    async fn pause(&self, limit: Duration) {
+        // Running into the limit is the usual case.
+        let _ = compio::time::timeout(limit, self.poke.raised()).await;
+    }
+
+    pub(crate) fn notify_owner(&self) {
+        self.changed.raise();
+    }
+
+    /// Returns the next look at the worker, and whether ends wait for the owner.
+    fn next_hold(&self) -> Option<(HoldRequest, bool)> {
+        let state = self.state.borrow();
+        let worker = state.worker.as_ref()?;
+        if state.epoch <= state.refused_epoch {
+            return None;
+        }
+        let is_unacknowledged = !worker.ended.is_empty();
+        let is_first = worker.answered_at.is_none();
+        let wait = if is_unacknowledged || is_first {
+            Duration::ZERO
+        } else if worker.running.is_empty() {
+            self.timings.idle_wait
+        } else {
+            self.timings.busy_wait
+        };
+        Some((state.hold_request(worker, &self.timings, wait), is_unacknowledged))
+    }
+
+    /// Looks at the worker once.
+    pub(crate) async fn hold(&self, request: &HoldRequest) -> Result<()> {
+        if let Some(until_ms) = request.lease_until_clock_ms
+            && let Some(worker) = &mut self.state.borrow_mut().worker
+            && let Some(clock) = &mut worker.clock
+        {
+            clock.renewing(until_ms);
+        }
+        let limit = request.wait + self.timings.answer_timeout;
+        let answer = match compio::time::timeout(limit, self.port.hold(request)).await {
+            Ok(answer) => answer?,
+            Err(_) => {
+                let detail = format!("no answer in {limit:?}");
+                return Err(Error::new(ErrorKind::UnknownOutcome, detail));
+            }
+        };
+        self.absorb(&request.worker, answer)
+    }
+
+    fn absorb(&self, asked: &WorkerRef, answer: HoldAnswer) -> Result<()> {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Some(worker) = &mut state.worker else {
+            return Ok(());
+        };
+        if worker.worker() != asked {
+            return Ok(());
+        }
+        if answer
+            .born_unix_ms
+            .is_some_and(|born| born != asked.born_unix_ms)
+        {
+            let detail = "another life of the worker has answered";
+            return Err(Error::new(ErrorKind::NotFound, detail));
+        }
+        if worker
+            .clock
+            .is_some_and(|clock| answer.clock_ms < clock.clock_ms())
+        {
+            // A later answer has overtaken this one.
+            return Ok(());
+        }
+        let is_first = worker.answered_at.is_none();
+        worker
+            .clock
+            .get_or_insert_with(|| LeaseClock::new(answer.clock_ms, now, self.timings.max_lease))
+            .observe(answer.clock_ms, now);
+        worker.answered_at = Some(now);
+        if worker.absorb(answer) || is_first {
+            self.notify_owner();
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Returns the request of a look that renews the lease as far as the owner allows.
+    pub(crate) fn hold_request(
+        &self,
+        worker: &Supervised,
+        timings: &SupervisorTimings,
+        wait: Duration,
+    ) -> HoldRequest {
+        HoldRequest {
+            worker: worker.worker().clone(),
+            epoch: self.epoch,
+            acknowledged: worker.acknowledged,
+            lease_until_clock_ms: self.lease_until_ms(worker, timings),
+            wait,
+        }
+    }
+
+    /// Returns the end of a lease that is renewed now, if the owner allows it.
+    pub(crate) fn lease_until_ms(
+        &self,
+        worker: &Supervised,
+        timings: &SupervisorTimings,
+    ) -> Option<u64> {
+        let now = clock::now();
+        let horizon = self.horizon.filter(|horizon| *horizon > now)?;
+        let clock = worker.clock.as_ref()?;
+        Some(clock.lease_until_ms(now, horizon, timings.max_lease))
+    }
+}
+
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/workload/src/lib.rs
@@ -0,0 +1,44 @@
+//! The model of jobs: what a customer submits, and how far it has come.
+//!
+//! A job has steps, a step has tasks, and a job may recur. What is placed, started and ended as a whole is
+//! a *unit*: all tasks of a gang, or a single task. [`JobProgress`] is the durable part of a job's state
+//! and changes only through its methods; it knows neither workers' rooms nor messages.
+
+mod ids;
+mod policy;
+mod progress;
+mod record;
+mod spec;
+
+pub use ids::Occurrence;
+pub use ids::Run;
+pub use ids::StepIndex;
+pub use ids::TaskId;
+pub use ids::TaskIdProblem;
+pub use ids::TaskIndex;
+pub use ids::UnitId;
+pub use policy::AdvicePolicy;
+pub use policy::CustomerPolicy;
+pub use policy::JobConfiguration;
+pub use policy::Priority;
+pub use policy::Queue;
+pub use policy::QueuePolicy;
+pub use policy::RequestLimits;
+pub use policy::ServicePolicy;
+pub use progress::Attempt;
+pub use progress::EndEffect;
+pub use progress::EndKind;
+pub use progress::JobProgress;
+pub use progress::JobState;
+pub use progress::StepProgress;
+pub use progress::UnitProgress;
+pub use progress::WorkerRef;
+pub use record::JOB_PREFIX;
+pub use record::JobRecord;
+pub use record::JobRow;
+pub use spec::JobSpec;
+pub use spec::MAX_SPEC_TASKS;
+pub use spec::Repeat;
+pub use spec::Resources;
+pub use spec::SpecProblem;
+pub use spec::StepSpec;
--- /dev/null
+++ b/crates/workload/src/progress.rs
@@ -0,0 +1,396 @@
+//! How far a job has come: the durable part of its state.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use nutmegwalk_base::WorkerId;
+
+use crate::JobSpec;
+use crate::Occurrence;
+use crate::Run;
+use crate::StepIndex;
+use crate::TaskId;
+use crate::UnitId;
+
+/// One life of a worker. A restarted worker may have the id of its predecessor, but not its start time.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct WorkerRef {
+    /// Id of the worker.
+    pub id: WorkerId,
+    /// Start of this life, in milliseconds since 1970.
+    pub born_unix_ms: u64,
+}
+
+/// State of a job, as its submitter sees it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    /// Accepted; no task was started.
+    #[default]
+    Pending,
+    /// A task was started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A unit failed as often as its queue allows.
+    Failed,
+    /// The submitter cancelled the job.
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns whether the job has ended.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// How a task's run ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndKind {
+    /// The work is done.
+    Done,
+    /// The task failed, by its own fault or the worker's.
+    Failed,
+    /// The task was told to stop.
+    Stopped,
+    /// The worker's lease lapsed.
+    LeaseLapsed,
+    /// Another member of the gang ended.
+    GangBroken,
+    /// The other members of the gang were not there in time.
+    GangIncomplete,
+    /// The run is gone without a report: its worker has died, or the order to start it never arrived.
+    Lost,
+}
+
+/// A run of a unit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Attempt {
+    /// Number of the run, shared by the members of a gang.
+    pub run: Run,
+    /// Whether a task of the run has failed.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_failed: bool,
+    /// Worker of each task of the unit, in the order of the tasks.
+    pub workers: Vec<WorkerRef>,
+}
+
+/// Progress of a unit.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UnitProgress {
+    /// Number of the last run.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub last_run: Run,
+    /// Runs that failed.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// Whether the work is done.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_done: bool,
+    /// Checkpoint from which the next run resumes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<Box<str>>,
+    /// Runs that may have tasks on workers; more than one only for speculative steps.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub attempts: Vec<Attempt>,
+}
+
+/// Progress of a step in one occurrence.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StepProgress {
+    /// Whether all units are done; the units are dropped then.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_done: bool,
+    /// Units in the order of the tasks; empty before the first start and after the last end.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub units: Vec<UnitProgress>,
+}
+
+/// What a reported end changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndEffect {
+    /// The run is not a current one of an unfinished unit, so nothing changed.
+    Ignored,
+    /// The unit is done.
+    UnitDone,
+    /// The unit's run failed; `is_exhausted` says whether the queue allows no further one.
+    Failed {
+        /// Whether the unit has failed as often as its queue allows.
+        is_exhausted: bool,
+    },
+    /// The run ended for another reason.
+    Interrupted,
+}
+
+/// Durable progress of a job.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobProgress {
+    /// State as the submitter sees it.
+    pub state: JobState,
+    /// Occurrences that have begun and are not finished, with their steps.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    occurrences: BTreeMap<Occurrence, Vec<StepProgress>>,
+    /// All occurrences below this one are finished.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    finished_below: Occurrence,
+    /// Finished occurrences that are not below it.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    finished: BTreeSet<Occurrence>,
+    /// Time of day at which the job ended, in milliseconds since 1970.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended_unix_ms: Option<u64>,
+}
+
+impl JobProgress {
+    /// Creates the progress of a job of which nothing has started.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether all tasks of `occurrence` are done.
+    #[must_use]
+    pub fn is_finished(&self, occurrence: Occurrence) -> bool {
+        occurrence < self.finished_below || self.finished.contains(&occurrence)
+    }
+
+    /// Returns the first occurrence that is not finished.
+    #[must_use]
+    pub fn first_unfinished(&self) -> Occurrence {
+        self.finished_below
+    }
+
+    /// Returns whether all units of a step are done.
+    #[must_use]
+    pub fn is_step_done(&self, occurrence: Occurrence, step: StepIndex) -> bool {
+        self.is_finished(occurrence)
+            || self.step(occurrence, step).is_some_and(|step| step.is_done)
+    }
+
+    /// Returns the progress of a unit; `None` when it was never started or its step is done.
+    #[must_use]
+    pub fn unit(&self, unit: &UnitId) -> Option<&UnitProgress> {
+        self.step(unit.occurrence, unit.step)?
+            .units
+            .get(position(unit))
+    }
+
+    /// Returns whether a unit is done.
+    #[must_use]
+    pub fn is_unit_done(&self, unit: &UnitId) -> bool {
+        self.is_step_done(unit.occurrence, unit.step)
+            || self.unit(unit).is_some_and(|unit| unit.is_done)
+    }
+
+    /// Returns the units of `occurrence` whose predecessors are done and that are not done themselves.
+    #[must_use]
+    pub fn open_units(&self, job: &str, spec: &JobSpec, occurrence: Occurrence) -> Vec<UnitId> {
+        if self.state.is_final() || self.is_finished(occurrence) {
+            return Vec::new();
+        }
+        let mut open = Vec::new();
+        for (step, step_spec) in (0..).zip(&spec.steps) {
+            let is_open = !self.is_step_done(occurrence, step)
+                && step_spec
+                    .after
+                    .iter()
+                    .all(|after| self.is_step_done(occurrence, *after));
+            if !is_open {
+                continue;
+            }
+            let units = (0..step_spec.unit_count()).map(|index| UnitId {
+                job: job.into(),
+                occurrence,
+                step,
+                task: (!step_spec.is_gang).then_some(index),
+            });
+            open.extend(units.filter(|unit| !self.is_unit_done(unit)));
+        }
+        open
+    }
+
+    /// Returns every run that may have tasks on workers.
+    pub fn attempts<'a>(
+        &'a self,
+        job: &'a str,
+        spec: &'a JobSpec,
+    ) -> impl Iterator<Item = (UnitId, &'a Attempt)> {
+        self.occurrences.iter().flat_map(move |(occurrence, steps)| {
+            (0..).zip(steps).flat_map(move |(step, progress)| {
+                let units = (0..).zip(&progress.units);
+                units.flat_map(move |(index, unit)| {
+                    unit.attempts.iter().map(move |attempt| {
+                        let is_gang = spec.step(step).is_some_and(|step| step.is_gang);
+                        let id = UnitId {
+                            job: job.into(),
+                            occurrence: *occurrence,
+                            step,
+                            task: (!is_gang).then_some(index),
+                        };
+                        (id, attempt)
+                    })
+                })
+            })
+        })
+    }
+
+    /// Begins a run of a unit on `workers`, one for each of its tasks, and returns the run's number.
+    pub fn begin(&mut self, spec: &JobSpec, unit: &UnitId, workers: Vec<WorkerRef>) -> Run {
+        debug_assert!(!self.state.is_final());
+        debug_assert!(!self.is_unit_done(unit));
+        self.state = JobState::Running;
+        let progress = self.unit_mut(spec, unit);
+        progress.last_run += 1;
+        let run = progress.last_run;
+        progress.attempts.push(Attempt {
+            run,
+            has_failed: false,
+            workers,
+        });
+        run
+    }
+
+    /// Notes that a task's run has ended.
+    ///
+    /// `max_failures` is the number of failed runs after which the unit is given up; `None` for no limit.
+    pub fn record_end(
+        &mut self,
+        spec: &JobSpec,
+        task: &TaskId,
+        run: Run,
+        kind: EndKind,
+        max_failures: Option<u32>,
+    ) -> EndEffect {
+        let Some(unit) = spec.unit_of(task) else {
+            return EndEffect::Ignored;
+        };
+        if self.state.is_final() || self.is_unit_done(&unit) {
+            return EndEffect::Ignored;
+        }
+        let progress = self.unit_mut(spec, &unit);
+        let Some(attempt) = progress
+            .attempts
+            .iter_mut()
+            .find(|attempt| attempt.run == run)
+        else {
+            return EndEffect::Ignored;
+        };
+        match kind {
+            EndKind::Done => {
+                progress.is_done = true;
+                progress.attempts.clear();
+                progress.checkpoint = None;
+                self.finish_step(spec, &unit);
+                EndEffect::UnitDone
+            }
+            EndKind::Failed if !attempt.has_failed => {
+                attempt.has_failed = true;
+                progress.failures += 1;
+                let is_exhausted = max_failures.is_some_and(|limit| progress.failures >= limit);
+                EndEffect::Failed { is_exhausted }
+            }
+            _ => EndEffect::Interrupted,
+        }
+    }
+
+    /// Keeps a checkpoint for the next run of the task's unit.
+    pub fn keep_checkpoint(&mut self, spec: &JobSpec, task: &TaskId, checkpoint: &str) {
+        if let Some(unit) = spec.unit_of(task)
+            && !checkpoint.is_empty()
+            && !self.is_unit_done(&unit)
+        {
+            self.unit_mut(spec, &unit).checkpoint = Some(checkpoint.into());
+        }
+    }
+
+    /// Forgets a run that has no task on any worker any more.
+    pub fn close_attempt(&mut self, unit: &UnitId, run: Run) {
+        let Some(steps) = self.occurrences.get_mut(&unit.occurrence) else {
+            return;
+        };
+        let step = steps.get_mut(unit.step as usize);
+        if let Some(progress) = step.and_then(|step| step.units.get_mut(position(unit))) {
+            progress.attempts.retain(|attempt| attempt.run != run);
+        }
+    }
+
+    /// Ends the job for another reason than completion.
+    pub fn end(&mut self, state: JobState) {
+        debug_assert!(state.is_final());
+        self.state = state;
+        self.occurrences.clear();
+    }
+
+    fn step(&self, occurrence: Occurrence, step: StepIndex) -> Option<&StepProgress> {
+        self.occurrences.get(&occurrence)?.get(step as usize)
+    }
+
+    fn unit_mut(&mut self, spec: &JobSpec, unit: &UnitId) -> &mut UnitProgress {
+        let steps = self
+            .occurrences
+            .entry(unit.occurrence)
+            .or_insert_with(|| vec![StepProgress::default(); spec.steps.len()]);
+        let step = &mut steps[unit.step as usize];
+        if step.units.is_empty() {
+            let count = spec.steps[unit.step as usize].unit_count() as usize;
+            step.units = vec![UnitProgress::default(); count];
+        }
+        &mut step.units[position(unit)]
+    }
+
+    /// Marks the unit's step, its occurrence and the job as done if they are.
+    fn finish_step(&mut self, spec: &JobSpec, unit: &UnitId) {
+        let Some(steps) = self.occurrences.get_mut(&unit.occurrence) else {
+            return;
+        };
+        let step = &mut steps[unit.step as usize];
+        if !step.units.iter().all(|unit| unit.is_done) {
+            return;
+        }
+        *step = StepProgress {
+            is_done: true,
+            units: Vec::new(),
+        };
+        if !steps.iter().all(|step| step.is_done) {
+            return;
+        }
+        self.occurrences.remove(&unit.occurrence);
+        self.finished.insert(unit.occurrence);
+        while self.finished.remove(&self.finished_below) {
+            self.finished_below += 1;
+        }
+        if self.finished_below >= spec.occurrences() {
+            self.state = JobState::Completed;
+        }
+    }
+}
+
+impl JobSpec {
+    /// Returns the unit that a task belongs to; `None` if the job has no such task.
+    #[must_use]
+    pub fn unit_of(&self, task: &TaskId) -> Option<UnitId> {
+        let step = self.step(task.step)?;
+        let exists = task.index < step.tasks && task.occurrence < self.occurrences();
+        exists.then(|| UnitId {
+            job: task.job.clone(),
+            occurrence: task.occurrence,
+            step: task.step,
+            task: (!step.is_gang).then_some(task.index),
+        })
+    }
+}
+
+fn position(unit: &UnitId) -> usize {
+    unit.task.unwrap_or(0) as usize
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
--- /dev/null
+++ b/crates/workload/src/record.rs
@@ -0,0 +1,72 @@
+//! Rows of a job in the store.
+//!
+//! A job has up to three rows: what was accepted, written once by an entry host; the wish to cancel it,
+//! written once by an entry host; and its progress, written by the owner of its domain.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use nutmegwalk_base::ConfigVersion;
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::JobId;
+
+use crate::JobSpec;
+use crate::QueuePolicy;
+
+/// Prefix of the keys of all rows of jobs.
+pub const JOB_PREFIX: &str = "job/";
+
+/// An accepted job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobRecord {
+    /// Customer that submitted the job; `None` on a queue that anybody may use.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerId>,
+    /// Queue that the job was submitted to.
+    pub queue: Box<str>,
+    /// The queue's policy at acceptance, for a queue that is removed while the job is there.
+    pub policy: QueuePolicy,
+    /// Version of the configuration under which the job was accepted.
+    pub config_version: ConfigVersion,
+    /// Time of day at acceptance, in milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+    /// What was submitted.
+    pub spec: JobSpec,
+}
+
+/// Which row of a job a key names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobRow {
+    /// The accepted job.
+    Accepted,
+    /// The submitter's wish to cancel it.
+    Cancelled,
+    /// Its progress.
+    Progress,
+}
+
+impl JobRow {
+    fn suffix(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Cancelled => "cancelled",
+            Self::Progress => "progress",
+        }
+    }
+
+    /// Returns the key of this row of `job`.
+    #[must_use]
+    pub fn key(self, job: &str) -> Box<str> {
+        format!("{JOB_PREFIX}{job}/{}", self.suffix()).into_boxed_str()
+    }
+
+    /// Returns the job and the row that `key` names; `None` for other keys.
+    #[must_use]
+    pub fn parse(key: &str) -> Option<(JobId, Self)> {
+        let (job, suffix) = key.strip_prefix(JOB_PREFIX)?.rsplit_once('/')?;
+        let row = [Self::Accepted, Self::Cancelled, Self::Progress]
+            .into_iter()
+            .find(|row| row.suffix() == suffix)?;
+        Some((job.into(), row))
+    }
+}
