--- /dev/null
+++ b/crates/assembly/src/agent.rs
@@ -0,0 +1,317 @@
+//! The process beside a worker.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::JoinHandle;
+use log::info;
+use log::warn;
+
+use crate::Ports;
+use crate::locator::Locator;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Incarnation;
+use nutmegwalk_base::ProcessId;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_base::new_incarnation;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_domain::DomainOwner;
+use nutmegwalk_domain::DomainSettings;
+use nutmegwalk_lease::Ownership;
+use nutmegwalk_lease::Timing;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Handler;
+use nutmegwalk_net::Message;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_net::Server;
+use nutmegwalk_net::ServerLimits;
+use nutmegwalk_supervisor::Orders;
+use nutmegwalk_supervisor::Report;
+use nutmegwalk_supervisor::ReportAnswer;
+use nutmegwalk_supervisor::Supervisor;
+use nutmegwalk_supervisor::SupervisorTimings;
+use nutmegwalk_supervisor::WorkerPort;
+
+/// Interval of reports when nothing has changed.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time for an answer to a report: a trip between regions and back, and a busy owner.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a report that was not answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Interval at which the agent looks whether it should contend for the ownership.
+const CONTEND_POLL: Duration = Duration::from_millis(100);
+/// Time without an owner's answer after which an agent contends although it does not stand by.
+const CONTEND_AFTER: Duration = Duration::from_millis(3_000);
+/// Time for a planned stop: the lease is given back, and answers in flight are sent.
+const STOP_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Name of the process, unique in the deployment.
+    pub name: ProcessId,
+    /// Address for messages of other processes of this system.
+    pub listen: SocketAddr,
+    /// Settings of the owner's duty.
+    pub domain: DomainSettings,
+    /// Lengths of time of the ownership's lease.
+    pub lease: Timing,
+    /// Lengths of time of the worker's supervision.
+    pub supervisor: SupervisorTimings,
+    /// Secret shared by the processes of the deployment; empty if only these reach each other.
+    pub secret: Secret,
+}
+
+/// A running agent.
+pub struct DomainAgent {
+    shared: Rc<Shared>,
+    server: Server,
+}
+
+struct Shared {
+    settings: AgentSettings,
+    incarnation: Incarnation,
+    address: SocketAddr,
+    ports: Ports,
+    supervisor: Supervisor,
+    ownership: Rc<Ownership>,
+    owner: DomainOwner,
+    locator: Locator,
+    sequence: Cell<u64>,
+    /// When an owner last answered a report.
+    answered_at: Cell<Option<Instant>>,
+    started_at: Instant,
+    is_standby: Cell<bool>,
+    contending: RefCell<Option<JoinHandle<()>>>,
+    drain: Drain,
+}
+
+impl DomainAgent {
+    /// Binds the agent's address and sets everything up.
+    ///
+    /// # Errors
+    /// `address_in_use` when the address cannot be bound.
+    pub async fn bind(
+        settings: AgentSettings,
+        ports: Ports,
+        worker: Rc<dyn WorkerPort>,
+    ) -> Result<Self> {
+        let server = Server::bind(settings.listen, ServerLimits::default()).await?;
+        let address = server.local_address();
+        let ownership = Rc::new(Ownership::with_timing(
+            ports.store.clone(),
+            settings.domain.domain.clone(),
+            settings.name.clone(),
+            address.to_string(),
+            settings.lease,
+        ));
+        let owner = DomainOwner::new(
+            settings.domain.clone(),
+            Rc::clone(&ownership),
+            ports.store.clone(),
+            Rc::clone(&ports.feed),
+            Rc::clone(&ports.rows),
+            ports.client.clone(),
+        );
+        let locator = Locator::new(
+            ports.store.clone(),
+            &settings.domain.domain,
+            Rc::clone(&ownership),
+        );
+        let supervisor = Supervisor::new(worker, settings.supervisor);
+        Ok(Self {
+            shared: Rc::new(Shared {
+                settings,
+                incarnation: new_incarnation(),
+                address,
+                ports,
+                supervisor,
+                ownership,
+                owner,
+                locator,
+                sequence: Cell::new(0),
+                answered_at: Cell::new(None),
+                started_at: clock::now(),
+                is_standby: Cell::new(false),
+                contending: RefCell::new(None),
+                drain: Drain::new(),
+            }),
+            server,
+        })
+    }
+
+    /// Returns the supervision of the worker, to which heartbeats are passed.
+    #[must_use]
+    pub fn supervisor(&self) -> Supervisor {
+        self.shared.supervisor.clone()
+    }
+
+    /// Runs the agent until `stop` starts.
+    ///
+    /// The worker's tasks go on: a successor that starts before the lease lapses takes them over.
+    pub async fn run(self, stop: Drain) {
+        let Self { shared, server } = self;
+        let name = &*shared.settings.name;
+        info!(process = name, address:% = shared.address, incarnation = shared.incarnation; "agent started");
+        let served = compio::runtime::spawn(server.serve(Rc::clone(&shared), shared.drain.clone()));
+        let tasks = shared.spawn_duties();
+        stop.started().await;
+        info!(process = name, owner = shared.owner.is_serving(); "agent is stopping");
+        if shared.contending.borrow().is_some()
+            && let Err(error) = shared.ownership.release().await
+        {
+            warn!(process = name; "{error}");
+        }
+        drop(tasks);
+        shared.drain.start();
+        if compio::time::timeout(STOP_LIMIT, served).await.is_err() {
+            warn!(process = name; "answers in flight are given up");
+        }
+        info!(process = name; "agent stopped");
+    }
+}
+
+impl Shared {
+    fn spawn_duties(self: &Rc<Self>) -> Vec<JoinHandle<()>> {
+        let supervisor = self.supervisor.clone();
+        let owner = Rc::clone(self);
+        let reporter = Rc::clone(self);
+        let contender = Rc::clone(self);
+        vec![
+            compio::runtime::spawn(async move { supervisor.run().await }),
+            compio::runtime::spawn(async move { owner.owner.run().await }),
+            compio::runtime::spawn(async move { reporter.report().await }),
+            compio::runtime::spawn(async move { contender.contend().await }),
+        ]
+    }
+
+    /// Reports to the owner: at once after a change, else at an interval.
+    async fn report(&self) {
+        let mut is_failing = false;
+        loop {
+            match self.report_once().await {
+                Ok(()) => {
+                    if is_failing {
+                        info!(epoch = self.supervisor.epoch(); "the owner answers again");
+                    }
+                    is_failing = false;
+                    // Running into the limit is the usual case.
+                    let _ = compio::time::timeout(REPORT_INTERVAL, self.supervisor.changed()).await;
+                }
+                Err(error) => {
+                    if !is_failing {
+                        warn!(epoch = self.supervisor.epoch(); "cannot report to the owner: {error}");
+                    }
+                    is_failing = true;
+                    if error.kind == ErrorKind::StaleEpoch {
+                        self.locator.reject();
+                    }
+                    self.locator.refresh().await;
+                    compio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn report_once(&self) -> Result<()> {
+        let Some(address) = self.locator.address() else {
+            let detail = "no owner is known";
+            return Err(Error::new(ErrorKind::Unreachable, detail));
+        };
+        let sent_at = clock::now();
+        let report = self.next_report();
+        let answer = if address == self.address {
+            self.owner.take_in(&report)?
+        } else {
+            self.ports
+                .client
+                .send(address, &report, REPORT_TIMEOUT)
+                .await?
+        };
+        self.take_in(&answer, sent_at);
+        Ok(())
+    }
+
+    fn take_in(&self, answer: &ReportAnswer, sent_at: Instant) {
+        self.answered_at.set(Some(clock::now()));
+        self.is_standby.set(answer.is_standby);
+        self.supervisor.apply_answer(answer, sent_at);
+    }
+
+    fn next_report(&self) -> Report {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        Report {
+            agent: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            address: self.address,
+            epoch: self.supervisor.epoch(),
+            is_eligible: !self.drain.is_started(),
+            unix_ms: clock::unix_ms(),
+            worker: self.supervisor.status(),
+        }
+    }
+
+    /// Contends for the ownership while this agent is the owner, stands by, or hears from no owner.
+    async fn contend(&self) {
+        loop {
+            self.contend_if_needed();
+            compio::time::sleep(CONTEND_POLL).await;
+        }
+    }
+
+    fn contend_if_needed(&self) {
+        let mut contending = self.contending.borrow_mut();
+        if !self.should_contend() {
+            contending.take();
+        } else if contending.is_none() {
+            let ownership = Rc::clone(&self.ownership);
+            *contending = Some(compio::runtime::spawn(async move { ownership.run().await }));
+        }
+    }
+
+    fn should_contend(&self) -> bool {
+        let is_cut_off = match self.answered_at.get() {
+            Some(at) => clock::now().saturating_duration_since(at) > CONTEND_AFTER,
+            // At the start of the whole deployment there is no owner to hear from.
+            None => {
+                self.locator.address().is_none()
+                    || clock::now().saturating_duration_since(self.started_at) > CONTEND_AFTER
+            }
+        };
+        self.is_standby.get() || self.owner.is_serving() || is_cut_off
+    }
+
+    async fn carry_out(&self, request: &Request) -> Response {
+        let result = match request.message::<Orders>(&self.settings.secret) {
+            Ok(orders) => self.supervisor.carry_out(orders).await,
+            Err(error) => Err(error),
+        };
+        Response::message(&result)
+    }
+
+    fn take_in_report(&self, request: &Request) -> Response {
+        let result = request
+            .message::<Report>(&self.settings.secret)
+            .and_then(|report| self.owner.take_in(&report));
+        Response::message(&result)
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        match &*request.path {
+            Report::PATH => self.take_in_report(&request),
+            Orders::PATH => self.carry_out(&request).await,
+            _ => Response::new(404, ""),
+        }
+    }
+}
--- /dev/null
+++ b/crates/assembly/src/entry.rs
@@ -0,0 +1,114 @@
+//! The entry host.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::runtime::JoinHandle;
+use log::info;
+
+use crate::Ports;
+use nutmegwalk_base::ProcessId;
+use nutmegwalk_base::Result;
+use nutmegwalk_intake::Caller;
+use nutmegwalk_intake::Intake;
+use nutmegwalk_intake::IntakeSettings;
+use nutmegwalk_intake::JobView;
+use nutmegwalk_net::Drain;
+use nutmegwalk_policy::PolicyView;
+
+/// Settings of an entry host.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Name of the process, unique in the deployment.
+    pub name: ProcessId,
+    /// Settings of the callers' side.
+    pub intake: IntakeSettings,
+    /// Age of the operators' configuration beyond which no call is handled, because a key may have been
+    /// taken away; `None` to go on with an old one.
+    pub max_policy_age: Option<Duration>,
+    /// Age of the operators' configuration beyond which the host is not ready, so that the balancer sends
+    /// new connections to hosts that can serve them.
+    pub ready_policy_age: Duration,
+    /// Time for which a stopping host still serves, so that the balancer and callers leave first.
+    pub leave_notice: Duration,
+}
+
+/// An entry host without its network side, which belongs to the adapter.
+pub struct DomainEntry {
+    settings: EntrySettings,
+    policy: PolicyView,
+    jobs: JobView,
+    intake: Intake,
+    is_leaving: Cell<bool>,
+}
+
+impl DomainEntry {
+    /// Sets everything up.
+    #[must_use]
+    pub fn new(settings: EntrySettings, ports: &Ports) -> Self {
+        let policy = PolicyView::new(Rc::clone(&ports.feed), Rc::clone(&ports.rows));
+        let jobs = JobView::new(Rc::clone(&ports.feed));
+        let intake = Intake::new(settings.intake, ports.store.clone(), jobs.clone());
+        Self {
+            settings,
+            policy,
+            jobs,
+            intake,
+            is_leaving: Cell::new(false),
+        }
+    }
+
+    /// Follows the store until `stop` starts; then serves on until callers have had time to leave.
+    ///
+    /// The caller stops its servers when this returns.
+    pub async fn run(&self, stop: Drain) {
+        let name = &*self.settings.name;
+        info!(process = name; "entry host started");
+        let tasks = self.spawn_followers();
+        stop.started().await;
+        info!(process = name; "entry host is leaving");
+        self.is_leaving.set(true);
+        compio::time::sleep(self.settings.leave_notice).await;
+        drop(tasks);
+    }
+
+    fn spawn_followers(&self) -> Vec<JoinHandle<()>> {
+        let policy = self.policy.clone();
+        let jobs = self.jobs.clone();
+        vec![
+            compio::runtime::spawn(async move { policy.run().await }),
+            compio::runtime::spawn(async move { jobs.run().await }),
+        ]
+    }
+
+    /// Returns whether new connections should come here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let age = self.policy.age().unwrap_or(Duration::MAX);
+        !self.is_leaving.get()
+            && self.policy.is_known()
+            && self.jobs.age().is_some()
+            && age < self.settings.ready_policy_age
+    }
+
+    /// Returns whether a planned stop has begun.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    /// Selects the queue of a call and authenticates the caller.
+    ///
+    /// # Errors
+    /// As [`Caller::identify`].
+    pub fn identify(&self, host: &str, path: &str, key: Option<&str>) -> Result<Caller> {
+        Caller::identify(&self.policy, self.settings.max_policy_age, host, path, key)
+    }
+
+    /// Returns the callers' side.
+    #[must_use]
+    pub fn intake(&self) -> &Intake {
+        &self.intake
+    }
+}
--- a/crates/base/src/secret.rs
+++ b/crates/base/src/secret.rs
@@ -19,6 +19,12 @@
         &self.0
     }
 
+    /// Returns whether there is no secret, because only processes of the deployment reach each other.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Compares with `shown` through digests, so that the time taken does not depend on the text.
     #[must_use]
     pub fn matches(&self, shown: &str) -> bool {
--- /dev/null
+++ b/crates/domain/src/cleanup.rs
@@ -0,0 +1,73 @@
+//! Deleting jobs that ended long ago.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+
+use crate::term::Term;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::clock;
+use nutmegwalk_store::Duty;
+use nutmegwalk_workload::JobRow;
+
+/// Interval between two looks.
+const INTERVAL: Duration = Duration::from_secs(15);
+/// Jobs deleted in one transaction; each has three rows.
+const JOBS_PER_DELETION: usize = 30;
+/// Time for one deletion.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+impl Term {
+    /// Deletes the rows of jobs that ended long ago, until the task is dropped.
+    pub(crate) async fn clean_up(self: Rc<Self>) {
+        loop {
+            compio::time::sleep(INTERVAL).await;
+            let ended = self.long_ended();
+            if !ended.is_empty() && self.is_valid() {
+                self.delete(&ended).await;
+            }
+        }
+    }
+
+    fn long_ended(&self) -> Vec<JobId> {
+        let now = clock::now();
+        let keep = self.settings.keep_ended;
+        let state = self.state.borrow();
+        let ended = state.jobs.iter().filter(|(_, job)| {
+            job.ended_at
+                .is_some_and(|at| now.saturating_duration_since(at) > keep)
+                && job.units.values().all(|unit| unit.runs.is_empty())
+                && job.stored_revision >= job.revision
+                && !job.is_writing
+        });
+        ended
+            .take(JOBS_PER_DELETION)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    async fn delete(&self, ids: &[JobId]) {
+        let mut transaction = self.ownership.fence(&self.held);
+        for id in ids {
+            for row in [JobRow::Accepted, JobRow::Cancelled, JobRow::Progress] {
+                transaction = transaction.with_delete(row.key(id));
+            }
+        }
+        match self
+            .store
+            .transact(Duty::Audit, &transaction, DEADLINE)
+            .await
+        {
+            Ok(_) => {
+                info!(jobs = ids.len(); "ended jobs deleted");
+                let mut state = self.state.borrow_mut();
+                for id in ids {
+                    state.jobs.remove(id);
+                }
+            }
+            Err(error) => warn!("cannot delete ended jobs: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/journal.rs
@@ -0,0 +1,209 @@
+//! Storing the progress of jobs.
+//!
+//! One task a job writes its progress row as long as there are changes. Every write is conditional on the
+//! owner's epoch and on the row's version, so neither a deposed owner nor a late write can replace a newer
+//! state.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::error;
+use log::warn;
+
+use crate::job::SeatState;
+use crate::term::Term;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::clock;
+use nutmegwalk_store::Condition;
+use nutmegwalk_store::Duty;
+use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::Transaction;
+use nutmegwalk_store::TransactionOutcome;
+use nutmegwalk_workload::JobRow;
+use nutmegwalk_workload::JobState;
+
+/// Time for one write with its repeats, after which it is built anew.
+const WRITE_DEADLINE: Duration = Duration::from_millis(2_000);
+/// Pause after a failed write; the store client has its own backoff within the deadline.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A write of a job's progress.
+struct Write {
+    transaction: Transaction,
+    revision: u64,
+    cancelled_key: Box<str>,
+}
+
+impl Term {
+    /// Starts storing a job's progress unless that is under way.
+    pub(crate) fn write(self: &Rc<Self>, id: &JobId) {
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(job) = state.jobs.get_mut(id) else {
+                return;
+            };
+            if std::mem::replace(&mut job.is_writing, true) {
+                return;
+            }
+        }
+        let term = Rc::clone(self);
+        let id = id.clone();
+        compio::runtime::spawn(async move { term.write_until_stored(&id).await }).detach();
+    }
+
+    async fn write_until_stored(self: Rc<Self>, id: &JobId) {
+        while let Some(write) = self.next_write(id) {
+            let outcome = self
+                .store
+                .transact(Duty::Progress, &write.transaction, WRITE_DEADLINE)
+                .await;
+            match outcome {
+                Ok(TransactionOutcome::Committed { version }) => {
+                    self.stored(id, write.revision, version);
+                }
+                Ok(TransactionOutcome::Rejected { failed_conditions }) => {
+                    if !self.resolve(id, &write, &failed_conditions).await {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    if self.has_ended() {
+                        break;
+                    }
+                    warn!(job = &**id; "cannot store progress: {error}");
+                    compio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        if let Some(job) = self.state.borrow_mut().jobs.get_mut(id) {
+            job.is_writing = false;
+        }
+        self.flush();
+    }
+
+    /// Returns whether another process has become the owner.
+    fn has_ended(&self) -> bool {
+        self.ownership
+            .owner()
+            .is_some_and(|owner| owner.epoch > self.epoch())
+    }
+
+    /// Returns the next write; `None` when everything is stored or the job is gone.
+    fn next_write(&self, id: &JobId) -> Option<Write> {
+        let state = self.state.borrow();
+        let job = state.jobs.get(id)?;
+        if job.stored_revision >= job.revision {
+            return None;
+        }
+        let key = JobRow::Progress.key(id);
+        let cancelled_key = JobRow::Cancelled.key(id);
+        let value = match serde_json::to_string(&job.progress) {
+            Ok(value) => value,
+            Err(error) => {
+                error!(job = &**id; "cannot encode progress: {error}");
+                return None;
+            }
+        };
+        let mut transaction = self.ownership.fence(&self.held);
+        transaction = match job.stored_version {
+            Some(version) => transaction.with_version(key.clone(), version),
+            None => transaction.with_absent(key.clone()),
+        };
+        if job.progress.state == JobState::Completed {
+            // A wish to cancel that was confirmed must not be followed by a completion.
+            transaction = transaction.with_absent(cancelled_key.clone());
+        }
+        Some(Write {
+            transaction: transaction.with_put(key, value),
+            revision: job.revision,
+            cancelled_key,
+        })
+    }
+
+    /// Notes that a revision is stored: its runs may be started and the ends in it acknowledged.
+    fn stored(self: &Rc<Self>, id: &JobId, revision: u64, version: RowVersion) {
+        let now = clock::now();
+        {
+            let mut state = self.state.borrow_mut();
+            let state = &mut *state;
+            let Some(job) = state.jobs.get_mut(id) else {
+                return;
+            };
+            job.stored_version = Some(version);
+            job.stored_revision = job.stored_revision.max(revision);
+            let mut workers = Vec::new();
+            for run in job.units.values_mut().flat_map(|unit| &mut unit.runs) {
+                if run.revision > revision {
+                    continue;
+                }
+                for seat in &mut run.seats {
+                    if seat.state == SeatState::Assigned {
+                        seat.enter(SeatState::Ordered, now);
+                        workers.push(seat.worker.id.clone());
+                    }
+                }
+            }
+            for worker in workers {
+                state.tell(&worker);
+            }
+            state.advance_acknowledgements();
+        }
+        self.flush();
+    }
+
+    /// Finds out why a write was rejected; returns whether to go on.
+    async fn resolve(self: &Rc<Self>, id: &JobId, write: &Write, failed: &[usize]) -> bool {
+        let failed_key = |index: &usize| match write.transaction.conditions.get(*index) {
+            Some(Condition::Absent { key } | Condition::Version { key, .. }) => key.clone(),
+            None => Box::default(),
+        };
+        let failed_keys: Vec<Box<str>> = failed.iter().map(failed_key).collect();
+        let progress_key = JobRow::Progress.key(id);
+        if failed_keys
+            .iter()
+            .any(|key| *key != progress_key && *key != write.cancelled_key)
+        {
+            warn!(job = &**id, epoch = self.epoch(); "another process has become the owner");
+            return false;
+        }
+        if failed_keys.contains(&write.cancelled_key) {
+            self.undo_completion(id);
+        }
+        if failed_keys.contains(&progress_key) {
+            // An earlier write of this term took effect although its answer was lost.
+            match self
+                .store
+                .get(Duty::Progress, &[progress_key], WRITE_DEADLINE)
+                .await
+            {
+                Ok(rows) => {
+                    let version = rows.into_iter().flatten().next().map(|row| row.version);
+                    if let Some(job) = self.state.borrow_mut().jobs.get_mut(id) {
+                        job.stored_version = version;
+                    }
+                }
+                Err(error) if error.kind == ErrorKind::StoreUnavailable => {
+                    warn!(job = &**id; "cannot read progress back: {error}");
+                    compio::time::sleep(RETRY_PAUSE).await;
+                }
+                Err(error) => {
+                    warn!(job = &**id; "cannot read progress back: {error}");
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Treats a job as cancelled whose completion came after the submitter's confirmed wish to cancel it.
+    fn undo_completion(&self, id: &JobId) {
+        let mut state = self.state.borrow_mut();
+        if let Some(job) = state.jobs.get_mut(id)
+            && job.progress.state == JobState::Completed
+        {
+            job.progress.end(JobState::Cancelled);
+            state.touch(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,22 @@
+//! The owner of a scheduling domain.
+//!
+//! A domain is a set of data centres whose jobs are placed by one process, the holder of the lease row
+//! `owner/<domain>`. The owner reads the jobs from the store, collects the agents' reports, decides by
+//! `nutmegwalk-placement`, stores every run before its first start, and gives orders to the agents. A new
+//! owner rebuilds all of this from the store and the reports.
+
+mod cleanup;
+mod dispatch;
+mod job;
+mod journal;
+mod owner;
+mod planning;
+mod replica;
+mod report;
+mod settings;
+mod term;
+mod time;
+mod worker;
+
+pub use owner::DomainOwner;
+pub use settings::DomainSettings;
--- /dev/null
+++ b/crates/domain/src/owner.rs
@@ -0,0 +1,151 @@
+//! Contending for the ownership, and the terms that follow from it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+
+use crate::replica::JobReplica;
+use crate::settings::DomainSettings;
+use crate::term::State;
+use crate::term::Term;
+use crate::time::WallClock;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_base::signal::Signal;
+use nutmegwalk_lease::Held;
+use nutmegwalk_lease::Ownership;
+use nutmegwalk_net::Client;
+use nutmegwalk_policy::OperatorRows;
+use nutmegwalk_policy::PolicyView;
+use nutmegwalk_store::ChangeFeed;
+use nutmegwalk_store::Follower;
+use nutmegwalk_store::StoreClient;
+use nutmegwalk_supervisor::Report;
+use nutmegwalk_supervisor::ReportAnswer;
+use nutmegwalk_workload::JOB_PREFIX;
+
+/// Interval at which the lease is looked at.
+const LEASE_POLL: Duration = Duration::from_millis(20);
+
+/// The duty of owning a domain; the process that holds the lease carries it out.
+pub struct DomainOwner {
+    settings: DomainSettings,
+    ownership: Rc<Ownership>,
+    store: StoreClient,
+    feed: Rc<dyn ChangeFeed>,
+    rows: Rc<dyn OperatorRows>,
+    client: Client,
+    term: RefCell<Option<Rc<Term>>>,
+    terms: Cell<u64>,
+}
+
+impl DomainOwner {
+    /// Creates the duty; `ownership` is the lease of the domain.
+    #[must_use]
+    pub fn new(
+        settings: DomainSettings,
+        ownership: Rc<Ownership>,
+        store: StoreClient,
+        feed: Rc<dyn ChangeFeed>,
+        rows: Rc<dyn OperatorRows>,
+        client: Client,
+    ) -> Self {
+        Self {
+            settings,
+            ownership,
+            store,
+            feed,
+            rows,
+            client,
+            term: RefCell::new(None),
+            terms: Cell::new(0),
+        }
+    }
+
+    /// Carries out the duty whenever the lease is held, until the task is dropped.
+    pub async fn run(&self) {
+        loop {
+            if let Some(held) = self.ownership.current() {
+                self.serve(held).await;
+            }
+            compio::time::sleep(LEASE_POLL).await;
+        }
+    }
+
+    /// Takes in an agent's report.
+    ///
+    /// # Errors
+    /// `stale_epoch` when this process is not the owner; `stale_view` when it does not know the jobs yet.
+    pub fn take_in(&self, report: &Report) -> Result<ReportAnswer> {
+        let term = self.term.borrow().clone();
+        match term {
+            Some(term) if !term.is_loaded.get() => {
+                let detail = "the owner is reading the jobs";
+                Err(Error::new(ErrorKind::StaleView, detail))
+            }
+            Some(term) if !term.is_superseded() => Ok(term.take_in(report)),
+            _ => {
+                let detail = "this process does not own the domain";
+                Err(Error::new(ErrorKind::StaleEpoch, detail))
+            }
+        }
+    }
+
+    /// Returns whether this process carries out the duty.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.term.borrow().is_some()
+    }
+
+    /// Carries out one term.
+    async fn serve(&self, held: Held) {
+        self.terms.set(self.terms.get() + 1);
+        info!(domain = &*self.settings.domain, epoch = held.epoch; "term begins");
+        let policy = PolicyView::new(Rc::clone(&self.feed), Rc::clone(&self.rows));
+        let wake = Signal::new();
+        policy.subscribe(wake.clone());
+        let term = Rc::new(Term {
+            settings: self.settings.clone(),
+            held,
+            ownership: Rc::clone(&self.ownership),
+            store: self.store.clone(),
+            client: self.client.clone(),
+            policy: policy.clone(),
+            started_at: clock::now(),
+            wall: WallClock::new(),
+            state: RefCell::new(State::default()),
+            wake,
+            is_loaded: Cell::new(false),
+        });
+        *self.term.borrow_mut() = Some(Rc::clone(&term));
+        let replica = JobReplica::new(Rc::clone(&term));
+        let follower = Follower::new(Rc::clone(&self.feed), JOB_PREFIX);
+        let policy_task = compio::runtime::spawn(async move { policy.run().await });
+        let jobs_task = compio::runtime::spawn(async move { follower.run(&replica).await });
+        let planner = Rc::clone(&term);
+        let planner_task = compio::runtime::spawn(async move { planner.decide().await });
+        let cleaner = Rc::clone(&term);
+        let cleaner_task = compio::runtime::spawn(async move { cleaner.clean_up().await });
+        // A lease that lapsed in an outage can still be renewed, with the same epoch; the term ends only
+        // when another process has taken over or the lease was released.
+        while !term.is_superseded() && !self.is_released(&held) {
+            compio::time::sleep(LEASE_POLL).await;
+        }
+        for task in [policy_task, jobs_task, planner_task, cleaner_task] {
+            drop(task);
+        }
+        *self.term.borrow_mut() = None;
+        info!(domain = &*self.settings.domain, epoch = held.epoch; "term ends");
+    }
+
+    fn is_released(&self, held: &Held) -> bool {
+        self.ownership
+            .owner()
+            .is_some_and(|owner| owner.is_released() && owner.epoch == held.epoch)
+    }
+}
--- /dev/null
+++ b/crates/domain/src/planning.rs
@@ -0,0 +1,654 @@
+//! Decisions: building what `nutmegwalk-placement` looks at, and carrying out what it says.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::info;
+use log::warn;
+
+use crate::job::Job;
+use crate::job::LiveRun;
+use crate::job::Seat;
+use crate::job::SeatState;
+use crate::job::StopState;
+use crate::term::State;
+use crate::term::Term;
+use crate::term::as_ms;
+use crate::worker::Worker;
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::WorkerId;
+use nutmegwalk_base::clock;
+use nutmegwalk_placement::RunningUnit;
+use nutmegwalk_placement::Snapshot;
+use nutmegwalk_placement::Start;
+use nutmegwalk_placement::WaitingUnit;
+use nutmegwalk_placement::WorkerView;
+use nutmegwalk_placement::plan;
+use nutmegwalk_workload::JobSpec;
+use nutmegwalk_workload::Occurrence;
+use nutmegwalk_workload::QueuePolicy;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::UnitId;
+use nutmegwalk_workload::WorkerRef;
+
+/// Interval of decisions without a signal, which also bounds how late lapsed times are noticed.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between two decisions, so that a burst of events leads to one.
+const PAUSE: Duration = Duration::from_millis(3);
+/// Time for which a new owner waits for the reports of workers that have runs.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+/// Time for which a new owner waits for reports in any case.
+const FIRST_REPORTS: Duration = Duration::from_millis(400);
+/// Time after which a stop that was taken and not followed by an end is repeated.
+const STOP_REPEAT: Duration = Duration::from_millis(1_000);
+/// Time for which the other members of a gang that is done may still be listed as running.
+const DONE_LINGER: Duration = Duration::from_millis(1_500);
+/// Cores that an accelerator counts as when work is weighed.
+const CORES_PER_ACCELERATOR: u64 = 8;
+/// A job is of no use to its submitter after this many times the time in which it should complete.
+const LATE_FACTOR: f64 = 3.0;
+/// Margin after the time at which a recurrence is due, for clocks that differ.
+const DUE_MARGIN_MS: u64 = 20;
+/// Work that a stop loses although the task writes a checkpoint then.
+const CHECKPOINT_LOSS: Duration = Duration::from_millis(200);
+
+impl Term {
+    /// Decides whenever something has changed, until the task is dropped.
+    pub(crate) async fn decide(self: Rc<Self>) {
+        loop {
+            // Running into the limit is the usual case.
+            let _ = compio::time::timeout(INTERVAL, self.wake.raised()).await;
+            self.look_after();
+            if self.may_start() {
+                self.decide_once();
+            }
+            self.flush_quietly();
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Returns whether tasks may be started now.
+    fn may_start(&self) -> bool {
+        let is_policy_fresh = self
+            .policy
+            .age()
+            .is_some_and(|age| age < self.settings.max_policy_age);
+        self.is_loaded.get() && self.is_valid() && is_policy_fresh && self.is_settled()
+    }
+
+    /// Returns whether the workers that may have runs of a predecessor have reported.
+    fn is_settled(&self) -> bool {
+        let age = clock::now().saturating_duration_since(self.started_at);
+        if age > SETTLE_TIME {
+            return true;
+        }
+        let state = self.state.borrow();
+        let has_inherited = state.jobs.values().any(|job| {
+            let runs = job.units.values().flat_map(|unit| &unit.runs);
+            runs.flat_map(|run| &run.seats)
+                .any(|seat| seat.state == SeatState::Inherited)
+        });
+        age > FIRST_REPORTS && !has_inherited
+    }
+
+    /// Notices what follows from the passing of time.
+    fn look_after(self: &Rc<Self>) {
+        let now = clock::now();
+        for worker in self.dead_workers(now) {
+            self.lose_worker(&worker, "nothing was heard for longer than its lease lasts");
+        }
+        let mut state = self.state.borrow_mut();
+        let mut to_tell = Vec::new();
+        for (id, job) in &mut state.jobs {
+            for (unit, live) in &mut job.units {
+                let is_done = job.progress.state.is_final() || job.progress.is_unit_done(unit);
+                for run in &mut live.runs {
+                    self.look_after_run(id, run, is_done, now, &mut to_tell);
+                }
+            }
+        }
+        for worker in to_tell {
+            state.tell(&worker);
+        }
+    }
+
+    fn look_after_run(
+        &self,
+        job: &JobId,
+        run: &mut LiveRun,
+        is_done: bool,
+        now: Instant,
+        to_tell: &mut Vec<WorkerId>,
+    ) {
+        let is_late = !run.is_stopping()
+            && run.seats.iter().any(|seat| {
+                seat.state == SeatState::Ordered
+                    && now.saturating_duration_since(seat.since) > self.settings.start_within
+            });
+        if is_late {
+            warn!(job = &**job, run = run.run; "the run did not start in time on all workers, stopping it");
+            run.stop();
+        }
+        for seat in &mut run.seats {
+            let is_repeat = matches!(
+                seat.stop,
+                StopState::Taken(at) if now.saturating_duration_since(at) > STOP_REPEAT
+            );
+            let lingers = is_done
+                && seat.stop == StopState::None
+                && seat.state == SeatState::Running
+                && run
+                    .whole_since
+                    .is_some_and(|since| now.saturating_duration_since(since) > DONE_LINGER);
+            if seat.state != SeatState::Ended && (is_repeat || lingers) {
+                seat.stop = StopState::Wanted;
+            }
+            if seat.stop == StopState::Wanted {
+                to_tell.push(seat.worker.id.clone());
+            }
+        }
+    }
+
+    /// Returns the lives of workers that have runs and cannot be alive any more.
+    fn dead_workers(&self, now: Instant) -> Vec<WorkerRef> {
+        let state = self.state.borrow();
+        let inherited_until = self.started_at + self.settings.hold_for;
+        let mut dead = Vec::new();
+        for job in state.jobs.values() {
+            for run in job.units.values().flat_map(|unit| &unit.runs) {
+                for seat in &run.seats {
+                    if seat.state == SeatState::Ended || dead.contains(&seat.worker) {
+                        continue;
+                    }
+                    let is_dead = match state.workers.get(&seat.worker.id) {
+                        Some(worker) if worker.announcement.worker == seat.worker => {
+                            worker.is_dead(now) && now > inherited_until
+                        }
+                        Some(worker)
+                            if worker.announcement.worker.born_unix_ms
+                                > seat.worker.born_unix_ms =>
+                        {
+                            true
+                        }
+                        _ => now > inherited_until,
+                    };
+                    if is_dead {
+                        dead.push(seat.worker.clone());
+                    }
+                }
+            }
+        }
+        dead
+    }
+
+    fn decide_once(self: &Rc<Self>) {
+        let now = clock::now();
+        let (snapshot, lives) = self.snapshot(now);
+        if snapshot.waiting.is_empty() {
+            return;
+        }
+        let plan = plan(&snapshot);
+        for preemption in &plan.preemptions {
+            let victim = &snapshot.running[preemption.running];
+            let beneficiary = &snapshot.waiting[preemption.beneficiary];
+            self.preempt(victim, &beneficiary.unit);
+        }
+        for start in &plan.starts {
+            self.start(&snapshot, start, &lives, now);
+        }
+    }
+
+    fn preempt(&self, victim: &RunningUnit, beneficiary: &UnitId) {
+        info!(
+            unit:% = victim.unit,
+            run = victim.run,
+            beneficiary:% = beneficiary,
+            loss_core_s = victim.loss_core_s,
+            guaranteed = victim.is_guaranteed;
+            "preempted"
+        );
+        let mut state = self.state.borrow_mut();
+        let mut workers = Vec::new();
+        if let Some(job) = state.jobs.get_mut(&victim.unit.job)
+            && let Some(live) = job.units.get_mut(&victim.unit)
+        {
+            for run in live.runs.iter_mut().filter(|run| run.run == victim.run) {
+                run.stop();
+                workers.extend(run.seats.iter().map(|seat| seat.worker.id.clone()));
+            }
+        }
+        for worker in workers {
+            state.tell(&worker);
+        }
+    }
+
+    fn start(&self, snapshot: &Snapshot, start: &Start, lives: &[WorkerRef], now: Instant) {
+        let waiting = &snapshot.waiting[start.waiting];
+        let workers: Vec<WorkerRef> = start.workers.iter().map(|i| lives[*i].clone()).collect();
+        let mut state = self.state.borrow_mut();
+        let Some(job) = state.jobs.get_mut(&waiting.unit.job) else {
+            return;
+        };
+        let spec = job.record.spec.clone();
+        let run = job.progress.begin(&spec, &waiting.unit, workers);
+        let revision = job.revision + 1;
+        let Some(progress) = job.progress.unit(&waiting.unit) else {
+            return;
+        };
+        let Some(attempt) = progress.attempts.iter().find(|attempt| attempt.run == run) else {
+            return;
+        };
+        let mut live = LiveRun::new(&waiting.unit, attempt, revision, SeatState::Assigned, now);
+        live.resumed_from.clone_from(&progress.checkpoint);
+        let names: Vec<&str> = attempt.workers.iter().map(|worker| &*worker.id).collect();
+        info!(
+            job = &*waiting.unit.job,
+            unit:% = waiting.unit,
+            run = run,
+            workers = names.join(",").as_str(),
+            waited_ms = as_ms(waiting.waited),
+            slack_ms = as_ms(waiting.slack()),
+            guaranteed = waiting.is_guaranteed,
+            resumed = live.resumed_from.is_some();
+            "placed"
+        );
+        job.units
+            .entry(waiting.unit.clone())
+            .or_default()
+            .runs
+            .push(live);
+        state.touch(&waiting.unit.job);
+    }
+
+    /// Builds what a decision looks at, and the life of each worker in it.
+    fn snapshot(&self, now: Instant) -> (Snapshot, Vec<WorkerRef>) {
+        let mut state = self.state.borrow_mut();
+        let unix_ms = self.wall.unix_ms();
+        self.note_ready(&mut state, unix_ms, now);
+        let state = &*state;
+        let lives: Vec<WorkerRef> = state
+            .workers
+            .values()
+            .map(|worker| worker.announcement.worker.clone())
+            .collect();
+        let index_of: BTreeMap<&WorkerRef, usize> = lives
+            .iter()
+            .enumerate()
+            .map(|(index, life)| (life, index))
+            .collect();
+        let mut snapshot = Snapshot {
+            workers: state
+                .workers
+                .values()
+                .map(|worker| self.view_of(worker, now))
+                .collect(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            spread_factor: self.settings.spread_factor,
+        };
+        let guaranteed = self.guaranteed_jobs(state);
+        for (id, job) in &state.jobs {
+            let policy = self.policy_of(job);
+            let is_guaranteed = guaranteed.contains(&id);
+            let urgency = Urgency::new(state, job, &policy, unix_ms, now);
+            for (unit, live) in &job.units {
+                for run in &live.runs {
+                    let running = running_unit(
+                        job,
+                        unit,
+                        run,
+                        &policy,
+                        is_guaranteed,
+                        &urgency,
+                        &index_of,
+                        now,
+                    );
+                    for (worker, size) in &running.seats {
+                        let booked = &mut snapshot.workers[*worker].booked;
+                        *booked = booked.plus(*size);
+                    }
+                    snapshot.running.push(running);
+                }
+                if live.runs.is_empty() && live.ready_since.is_some() {
+                    snapshot.waiting.push(waiting_unit(
+                        job,
+                        unit,
+                        &policy,
+                        is_guaranteed,
+                        &urgency,
+                        &index_of,
+                        state,
+                        now,
+                    ));
+                }
+            }
+        }
+        (snapshot, lives)
+    }
+
+    fn view_of(&self, worker: &Worker, now: Instant) -> WorkerView {
+        let announcement = &worker.announcement;
+        let booked = worker
+            .strays
+            .values()
+            .fold(Resources::default(), |sum, stray| sum.plus(stray.demand));
+        let is_ready = announcement.state == nutmegwalk_supervisor::WorkerState::Ready;
+        WorkerView {
+            service: announcement.service.clone(),
+            data_centre: announcement.data_centre.clone(),
+            rack: announcement.rack.clone(),
+            labels: announcement.labels.clone(),
+            capacity: announcement.capacity,
+            booked,
+            is_open: is_ready
+                && worker.is_in_touch(now)
+                && !worker.health.is_quarantined(now)
+                && !self.policy.is_out_of_service(&announcement.data_centre),
+            slowness: 1.0,
+            leaves_in: None,
+        }
+    }
+
+    /// Notes the units that have become ready to start.
+    fn note_ready(&self, state: &mut State, unix_ms: u64, now: Instant) {
+        for (id, job) in &mut state.jobs {
+            if job.progress.state.is_final() {
+                continue;
+            }
+            for occurrence in due_occurrences(job, unix_ms) {
+                for unit in job.progress.open_units(id, &job.record.spec, occurrence) {
+                    let live = job.units.entry(unit).or_default();
+                    live.ready_since.get_or_insert(now);
+                }
+            }
+            let progress = &job.progress;
+            job.units
+                .retain(|unit, live| !live.runs.is_empty() || !progress.is_unit_done(unit));
+        }
+        for job in state.jobs.values_mut() {
+            if job.progress.state.is_final() {
+                job.units.retain(|_, live| !live.runs.is_empty());
+            }
+        }
+    }
+
+    /// Returns the jobs that are covered by their customers' guarantees, the oldest first.
+    fn guaranteed_jobs<'a>(&self, state: &'a State) -> Vec<&'a JobId> {
+        let configuration = self.policy.configuration();
+        let mut by_customer: BTreeMap<&CustomerId, Vec<(Instant, &JobId, u64)>> = BTreeMap::new();
+        for (id, job) in &state.jobs {
+            let Some(customer) = &job.record.customer else {
+                continue;
+            };
+            if job.progress.state.is_final() || self.policy_of(job).priority > 0 {
+                continue;
+            }
+            let need = accelerators_of(&job.record.spec);
+            by_customer
+                .entry(customer)
+                .or_default()
+                .push((job.accepted_at, id, need));
+        }
+        let mut covered = Vec::new();
+        for (customer, mut jobs) in by_customer {
+            let mut left = configuration
+                .customers
+                .get(customer)
+                .map_or(0, |customer| customer.guaranteed_accelerators);
+            jobs.sort_unstable();
+            for (_, id, need) in jobs {
+                if need > 0 && need <= left {
+                    left -= need;
+                    covered.push(id);
+                }
+            }
+        }
+        covered
+    }
+}
+
+/// Returns the accelerators that a job takes at its widest step.
+fn accelerators_of(spec: &JobSpec) -> u64 {
+    spec.steps
+        .iter()
+        .map(|step| step.demand.accelerators * u64::from(step.tasks))
+        .max()
+        .unwrap_or(0)
+}
+
+/// Returns the occurrences of a job that are due and not finished.
+fn due_occurrences(job: &Job, unix_ms: u64) -> Vec<Occurrence> {
+    let first = job.progress.first_unfinished();
+    let Some(repeat) = &job.record.spec.repeat else {
+        return if first == 0 { vec![0] } else { Vec::new() };
+    };
+    (first..repeat.count)
+        .take_while(|occurrence| repeat.due_unix_ms(*occurrence) + DUE_MARGIN_MS <= unix_ms)
+        .filter(|occurrence| !job.progress.is_finished(*occurrence))
+        .collect()
+}
+
+/// How soon a job should complete.
+struct Urgency {
+    /// Expected run time of each step on a sound worker.
+    run_times: Vec<Duration>,
+    /// Longest chain of work that comes after each step.
+    after: Vec<Duration>,
+    /// Time until each occurrence should complete.
+    due_in: BTreeMap<Occurrence, Duration>,
+    /// Time until a job that is late is worth nothing.
+    worthless_in: BTreeMap<Occurrence, Duration>,
+}
+
+impl Urgency {
+    fn new(state: &State, job: &Job, policy: &QueuePolicy, unix_ms: u64, now: Instant) -> Self {
+        let spec = &job.record.spec;
+        let run_times: Vec<Duration> = spec
+            .steps
+            .iter()
+            .map(|step| {
+                state
+                    .run_times
+                    .expected(&job.record.queue, step.estimate_ms)
+            })
+            .collect();
+        let after = chains_after(spec, &run_times);
+        let chain = (0..spec.steps.len())
+            .map(|step| run_times[step] + after[step])
+            .max()
+            .unwrap_or_default();
+        let objective =
+            chain.mul_f64(policy.stretch) + Duration::from_millis(policy.completion_slack_ms);
+        let worthless = objective.mul_f64(LATE_FACTOR);
+        let mut due_in = BTreeMap::new();
+        let mut worthless_in = BTreeMap::new();
+        let open: Vec<Occurrence> = job.units.keys().map(|unit| unit.occurrence).collect();
+        for occurrence in open {
+            let age = match &spec.repeat {
+                Some(repeat) => {
+                    Duration::from_millis(unix_ms.saturating_sub(repeat.due_unix_ms(occurrence)))
+                }
+                None => now.saturating_duration_since(job.accepted_at),
+            };
+            due_in.insert(occurrence, objective.saturating_sub(age));
+            worthless_in.insert(occurrence, worthless.saturating_sub(age));
+        }
+        Self {
+            run_times,
+            after,
+            due_in,
+            worthless_in,
+        }
+    }
+
+    fn slack(&self, unit: &UnitId, remaining: Duration) -> Duration {
+        let due_in = self
+            .due_in
+            .get(&unit.occurrence)
+            .copied()
+            .unwrap_or_default();
+        due_in.saturating_sub(remaining + self.after[unit.step as usize])
+    }
+}
+
+/// Returns the longest chain of work after each step.
+fn chains_after(spec: &JobSpec, run_times: &[Duration]) -> Vec<Duration> {
+    let mut after = vec![Duration::ZERO; spec.steps.len()];
+    for step in (0..spec.steps.len()).rev() {
+        let chain = run_times[step] + after[step];
+        for before in &spec.steps[step].after {
+            let before = *before as usize;
+            after[before] = after[before].max(chain);
+        }
+    }
+    after
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "gathers one view from many sources"
+)]
+fn running_unit(
+    job: &Job,
+    unit: &UnitId,
+    run: &LiveRun,
+    policy: &QueuePolicy,
+    is_guaranteed: bool,
+    urgency: &Urgency,
+    index_of: &BTreeMap<&WorkerRef, usize>,
+    now: Instant,
+) -> RunningUnit {
+    let step = job.step_of(unit);
+    let expected = urgency.run_times[unit.step as usize];
+    let elapsed = run
+        .whole_since
+        .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+    let remaining = if step.is_lasting {
+        Duration::MAX / 4
+    } else {
+        remaining(run, expected, elapsed)
+    };
+    let there: Vec<&Seat> = run
+        .seats
+        .iter()
+        .filter(|seat| seat.state != SeatState::Ended)
+        .collect();
+    let seats = there
+        .iter()
+        .filter_map(|seat| Some((*index_of.get(&seat.worker)?, step.booked())))
+        .collect();
+    let unsaved = if step.has_checkpoints {
+        CHECKPOINT_LOSS
+    } else {
+        elapsed
+    };
+    let cores = step.demand.milli_cores / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
+    #[expect(clippy::cast_precision_loss, reason = "cores of a unit")]
+    let loss_core_s = (cores * there.len() as u64) as f64 * unsaved.as_secs_f64();
+    let is_done = job.progress.state.is_final() || job.progress.is_unit_done(unit);
+    RunningUnit {
+        unit: unit.clone(),
+        run: run.run,
+        seats,
+        priority: policy.priority,
+        is_guaranteed,
+        is_ending: is_done || run.is_stopping(),
+        may_give_way: !step.is_lasting,
+        loss_core_s,
+        remaining,
+        slack: urgency.slack(unit, expected),
+    }
+}
+
+/// Estimates the time until a run ends, from its progress if it has made some.
+fn remaining(run: &LiveRun, expected: Duration, elapsed: Duration) -> Duration {
+    const SHORTEST: Duration = Duration::from_millis(100);
+    let percent = run
+        .seats
+        .iter()
+        .map(|seat| seat.progress_percent)
+        .min()
+        .unwrap_or(0);
+    let left = if (10..100).contains(&percent) && run.resumed_from.is_none() {
+        elapsed * (100 - percent) / percent
+    } else {
+        expected.saturating_sub(elapsed)
+    };
+    left.max(SHORTEST)
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "gathers one view from many sources"
+)]
+fn waiting_unit(
+    job: &Job,
+    unit: &UnitId,
+    policy: &QueuePolicy,
+    is_guaranteed: bool,
+    urgency: &Urgency,
+    index_of: &BTreeMap<&WorkerRef, usize>,
+    state: &State,
+    now: Instant,
+) -> WaitingUnit {
+    let step = job.step_of(unit);
+    let live = job.units.get(unit);
+    let mut step_tasks: BTreeMap<usize, u32> = BTreeMap::new();
+    let same_step = job
+        .units
+        .iter()
+        .filter(|(other, _)| other.step == unit.step && other.occurrence == unit.occurrence);
+    for (_, other) in same_step {
+        for seat in other.runs.iter().flat_map(|run| &run.seats) {
+            if seat.state != SeatState::Ended
+                && let Some(index) = index_of.get(&seat.worker)
+            {
+                *step_tasks.entry(*index).or_default() += 1;
+            }
+        }
+    }
+    let failed_on = live
+        .map(|live| live.failed_on.as_slice())
+        .unwrap_or_default();
+    let mut excluded: Vec<usize> = failed_on
+        .iter()
+        .filter_map(|worker| index_of.get(worker).copied())
+        .collect();
+    if excluded.len() * 2 > state.workers.len() {
+        excluded.clear();
+    }
+    let waited = live
+        .and_then(|live| live.ready_since)
+        .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+    WaitingUnit {
+        unit: unit.clone(),
+        service: policy.service.clone(),
+        tasks: step.tasks_per_unit(),
+        demand: step.booked(),
+        priority: policy.priority,
+        is_guaranteed,
+        is_rack_sensitive: step.is_rack_sensitive,
+        data_rack: step.data_rack.clone(),
+        required_label: step.required_label.clone(),
+        max_tasks_per_worker: step.max_tasks_per_worker,
+        step_tasks: step_tasks.into_iter().collect(),
+        excluded,
+        allowed: None,
+        run_time: urgency.run_times[unit.step as usize],
+        waited,
+        due_in: urgency
+            .due_in
+            .get(&unit.occurrence)
+            .copied()
+            .unwrap_or_default(),
+        after_it: urgency.after[unit.step as usize],
+        worthless_in: urgency
+            .worthless_in
+            .get(&unit.occurrence)
+            .copied()
+            .unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/domain/src/replica.rs
@@ -0,0 +1,150 @@
+//! Jobs as the store has them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::error;
+use log::info;
+
+use crate::job::Job;
+use crate::term::Term;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::clock;
+use nutmegwalk_store::Change;
+use nutmegwalk_store::Replica;
+use nutmegwalk_store::Row;
+use nutmegwalk_workload::JobProgress;
+use nutmegwalk_workload::JobRecord;
+use nutmegwalk_workload::JobRow;
+
+/// Passes the rows of jobs to a term.
+pub(crate) struct JobReplica {
+    term: Rc<Term>,
+    /// Jobs with a wish to cancel that arrived before the job itself.
+    early_cancels: RefCell<Vec<JobId>>,
+}
+
+impl JobReplica {
+    pub(crate) fn new(term: Rc<Term>) -> Self {
+        Self {
+            term,
+            early_cancels: RefCell::default(),
+        }
+    }
+
+    fn put(&self, row: &Row) {
+        match JobRow::parse(&row.key) {
+            Some((id, JobRow::Accepted)) => self.accepted(&id, row),
+            Some((id, JobRow::Cancelled)) => self.cancelled(&id),
+            // Within a term only the owner itself writes progress.
+            Some((_, JobRow::Progress)) => {}
+            None => info!(key = &*row.key; "a row that is not a job's is left alone"),
+        }
+    }
+
+    fn accepted(&self, id: &JobId, row: &Row) {
+        if self.term.state.borrow().jobs.contains_key(id) {
+            return;
+        }
+        let record: JobRecord = match serde_json::from_str(&row.value) {
+            Ok(record) => record,
+            Err(error) => {
+                error!(job = &**id; "an accepted job cannot be read: {error}");
+                return;
+            }
+        };
+        let now = clock::now();
+        let age_ms = self
+            .term
+            .wall
+            .unix_ms()
+            .saturating_sub(record.accepted_unix_ms);
+        // A clock that jumped must not make a new job look old.
+        let age = if self.term.is_loaded.get() {
+            Duration::from_millis(age_ms).min(Duration::from_secs(1))
+        } else {
+            Duration::from_millis(age_ms).min(Duration::from_secs(600))
+        };
+        info!(
+            job = &**id,
+            queue = &*record.queue,
+            customer = record.customer.as_deref().unwrap_or(""),
+            config_version = record.config_version,
+            age_ms = crate::term::as_ms(age);
+            "job taken in"
+        );
+        let job = Job::new(record, now.checked_sub(age).unwrap_or(now));
+        self.term.state.borrow_mut().jobs.insert(id.clone(), job);
+        if self.early_cancels.borrow().contains(id) {
+            self.term.cancel(id);
+        }
+    }
+
+    fn cancelled(&self, id: &JobId) {
+        let is_known = self.term.state.borrow().jobs.contains_key(id);
+        if is_known {
+            self.term.cancel(id);
+        } else {
+            self.early_cancels.borrow_mut().push(id.clone());
+        }
+    }
+
+    fn inherit(&self, id: &JobId, row: &Row) {
+        let progress: JobProgress = match serde_json::from_str(&row.value) {
+            Ok(progress) => progress,
+            Err(error) => {
+                error!(job = &**id; "the progress of a job cannot be read: {error}");
+                return;
+            }
+        };
+        let mut state = self.term.state.borrow_mut();
+        if let Some(job) = state.jobs.get_mut(id)
+            && job.stored_version.is_none()
+            && job.revision == 0
+        {
+            job.inherit(id, progress, row.version, clock::now());
+        }
+    }
+}
+
+impl Replica for JobReplica {
+    fn reset(&self, rows: Vec<Row>) {
+        let is_first = !self.term.is_loaded.get();
+        let of = |kind: JobRow| {
+            rows.iter()
+                .filter_map(move |row| match JobRow::parse(&row.key) {
+                    Some((id, found)) if found == kind => Some((id, row)),
+                    _ => None,
+                })
+        };
+        for (id, row) in of(JobRow::Accepted) {
+            self.accepted(&id, row);
+        }
+        if is_first {
+            for (id, row) in of(JobRow::Progress) {
+                self.inherit(&id, row);
+            }
+        }
+        for (id, _) in of(JobRow::Cancelled) {
+            self.cancelled(&id);
+        }
+        if is_first {
+            let state = self.term.state.borrow();
+            let open = state
+                .jobs
+                .values()
+                .filter(|job| !job.progress.state.is_final());
+            info!(epoch = self.term.epoch(), jobs = state.jobs.len(), open = open.count(); "jobs read");
+            self.term.is_loaded.set(true);
+        }
+        self.term.flush();
+    }
+
+    fn apply(&self, change: Change) {
+        if let Change::Put(row) = change {
+            self.put(&row);
+        }
+        self.term.flush();
+    }
+}
--- /dev/null
+++ b/crates/domain/src/term.rs
@@ -0,0 +1,349 @@
+//! State of one term: the time from winning the lease to losing it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use log::info;
+use log::warn;
+
+use crate::job::Job;
+use crate::job::SeatState;
+use crate::settings::DomainSettings;
+use crate::time::WallClock;
+use crate::worker::AgentInfo;
+use crate::worker::Worker;
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::JobId;
+use nutmegwalk_base::ProcessId;
+use nutmegwalk_base::WorkerId;
+use nutmegwalk_base::clock;
+use nutmegwalk_base::signal::Signal;
+use nutmegwalk_lease::Held;
+use nutmegwalk_lease::Ownership;
+use nutmegwalk_net::Client;
+use nutmegwalk_placement::RunTimes;
+use nutmegwalk_policy::PolicyView;
+use nutmegwalk_store::StoreClient;
+use nutmegwalk_supervisor::TaskRun;
+use nutmegwalk_workload::EndEffect;
+use nutmegwalk_workload::EndKind;
+use nutmegwalk_workload::JobState;
+use nutmegwalk_workload::QueuePolicy;
+use nutmegwalk_workload::WorkerRef;
+
+/// What the tasks of one term share.
+pub(crate) struct Term {
+    pub(crate) settings: DomainSettings,
+    pub(crate) held: Held,
+    pub(crate) ownership: Rc<Ownership>,
+    pub(crate) store: StoreClient,
+    pub(crate) client: Client,
+    pub(crate) policy: PolicyView,
+    pub(crate) started_at: Instant,
+    pub(crate) wall: WallClock,
+    pub(crate) state: RefCell<State>,
+    /// Raised when a decision may have become possible.
+    pub(crate) wake: Signal,
+    /// Whether the jobs have been read from the store.
+    pub(crate) is_loaded: Cell<bool>,
+}
+
+/// Jobs, workers and agents.
+#[derive(Default)]
+pub(crate) struct State {
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    /// Current life of each worker.
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) agents: BTreeMap<ProcessId, AgentInfo>,
+    pub(crate) run_times: RunTimes,
+    /// Jobs whose progress has changed and has to be stored.
+    dirty: BTreeSet<JobId>,
+    /// Workers for which there are orders.
+    to_tell: BTreeSet<WorkerId>,
+}
+
+impl Term {
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.held.epoch
+    }
+
+    /// Returns whether this process is certain to be the owner now.
+    pub(crate) fn is_valid(&self) -> bool {
+        self.ownership.current() == Some(self.held)
+    }
+
+    /// Returns how the jobs of a queue are treated: by the configuration in force, or as at acceptance if
+    /// it does not have the queue any more.
+    pub(crate) fn policy_of(&self, job: &Job) -> QueuePolicy {
+        let configuration = self.policy.configuration();
+        match configuration.queues.get(&job.record.queue) {
+            Some(queue) => queue.policy.clone(),
+            None => job.record.policy.clone(),
+        }
+    }
+
+    /// Stores what has changed, tells workers what there is to tell, and wakes the planner.
+    pub(crate) fn flush(self: &Rc<Self>) {
+        self.flush_quietly();
+        self.wake.raise();
+    }
+
+    /// Stores what has changed and tells workers what there is to tell.
+    pub(crate) fn flush_quietly(self: &Rc<Self>) {
+        let (dirty, to_tell) = {
+            let mut state = self.state.borrow_mut();
+            (
+                std::mem::take(&mut state.dirty),
+                std::mem::take(&mut state.to_tell),
+            )
+        };
+        for id in &dirty {
+            self.write(id);
+        }
+        {
+            let state = self.state.borrow();
+            for id in &to_tell {
+                if let Some(worker) = state.workers.get(id) {
+                    worker.orders.raise();
+                }
+            }
+        }
+    }
+
+    /// Takes in the end of a run and returns the revision of the job that holds what follows from it;
+    /// `None` when nothing follows.
+    pub(crate) fn apply_end(
+        &self,
+        worker: &WorkerRef,
+        ended: &TaskRun,
+        kind: EndKind,
+        checkpoint: Option<&str>,
+    ) -> Option<(JobId, u64)> {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let job_id = ended.task.job.clone();
+        let job = state.jobs.get_mut(&job_id)?;
+        let policy = match self.policy.configuration().queues.get(&job.record.queue) {
+            Some(queue) => queue.policy.clone(),
+            None => job.record.policy.clone(),
+        };
+        let unit = job.record.spec.unit_of(&ended.task)?;
+        let seat = job.seat_mut(&unit, ended.run, ended.task.index)?;
+        if seat.worker != *worker || seat.state == SeatState::Ended {
+            return None;
+        }
+        seat.enter(SeatState::Ended, now);
+        let spec = job.record.spec.clone();
+        let step = job.step_of(&unit).clone();
+        if kind != EndKind::Done
+            && let Some(checkpoint) = checkpoint
+        {
+            job.progress.keep_checkpoint(&spec, &ended.task, checkpoint);
+        }
+        let max_failures = (!step.is_lasting).then_some(policy.max_failures);
+        let effect = job
+            .progress
+            .record_end(&spec, &ended.task, ended.run, kind, max_failures);
+        info!(
+            job = &*job_id,
+            task:% = ended.task,
+            run = ended.run,
+            worker = &*worker.id,
+            kind:? = kind,
+            effect:? = effect;
+            "end"
+        );
+        let live = job.units.entry(unit.clone()).or_default();
+        let mut run_time = None;
+        let mut workers_of_run = Vec::new();
+        for run in &mut live.runs {
+            if run.run == ended.run {
+                run_time = run
+                    .whole_since
+                    .filter(|_| run.resumed_from.is_none())
+                    .map(|since| now.saturating_duration_since(since));
+                workers_of_run = run.seats.iter().map(|seat| seat.worker.clone()).collect();
+                if kind != EndKind::Done {
+                    run.stop();
+                }
+            } else if effect == EndEffect::UnitDone {
+                run.stop();
+            }
+        }
+        match effect {
+            EndEffect::UnitDone => {
+                if let Some(run_time) = run_time {
+                    state
+                        .run_times
+                        .observe(&job.record.queue, step.estimate_ms, run_time);
+                }
+                for worker in &workers_of_run {
+                    if let Some(worker) = state.workers.get_mut(&worker.id) {
+                        worker.health.succeeded();
+                    }
+                }
+            }
+            EndEffect::Failed { is_exhausted } => {
+                live.failed_on.push(worker.clone());
+                if let Some(worker) = state.workers.get_mut(&worker.id)
+                    && worker.health.failed(now)
+                {
+                    warn!(worker = &*worker.announcement.worker.id; "worker set aside after failures in a row");
+                }
+                if is_exhausted {
+                    job.progress.end(JobState::Failed);
+                    job.stop_all();
+                }
+            }
+            EndEffect::Interrupted | EndEffect::Ignored => {}
+        }
+        for worker in workers_of_run {
+            state.to_tell.insert(worker.id);
+        }
+        let is_changed = state.settle(&job_id, &unit) || effect != EndEffect::Ignored;
+        if !is_changed {
+            return None;
+        }
+        self.note_final(state, &job_id, now);
+        let revision = state.touch(&job_id);
+        Some((job_id, revision))
+    }
+
+    /// Notes the end of a job.
+    fn note_final(&self, state: &mut State, id: &JobId, now: Instant) {
+        let Some(job) = state.jobs.get_mut(id) else {
+            return;
+        };
+        if job.progress.state.is_final() && job.ended_at.is_none() {
+            job.ended_at = Some(now);
+            job.progress.ended_unix_ms = Some(self.wall.unix_ms());
+            let age = now.saturating_duration_since(job.accepted_at);
+            info!(
+                job = &**id,
+                queue = &*job.record.queue,
+                state:? = job.progress.state,
+                age_ms = as_ms(age);
+                "job ended"
+            );
+        }
+    }
+
+    /// Ends a job because its submitter wishes so.
+    pub(crate) fn cancel(&self, id: &JobId) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Some(job) = state.jobs.get_mut(id) else {
+            return;
+        };
+        if job.progress.state.is_final() {
+            return;
+        }
+        info!(job = &**id, state:? = job.progress.state; "cancelled");
+        job.progress.end(JobState::Cancelled);
+        job.stop_all();
+        let workers = job
+            .units
+            .values()
+            .flat_map(|unit| &unit.runs)
+            .flat_map(|run| &run.seats)
+            .map(|seat| seat.worker.id.clone());
+        let workers: Vec<WorkerId> = workers.collect();
+        state.to_tell.extend(workers);
+        state.drop_ended_runs(id);
+        self.note_final(&mut state, id, now);
+        state.touch(id);
+    }
+
+    /// Ends all runs on a life of a worker that is certainly over.
+    pub(crate) fn lose_worker(&self, worker: &WorkerRef, why: &str) {
+        let mut lost = Vec::new();
+        for (id, job) in &self.state.borrow().jobs {
+            for (unit, run, seat) in job.seats_on(worker) {
+                if seat.state != SeatState::Ended {
+                    let task = unit.task_id(seat.index);
+                    debug_assert_eq!(task.job, *id);
+                    let ended = TaskRun { task, run: run.run };
+                    lost.push((ended, seat.checkpoint.clone()));
+                }
+            }
+        }
+        if !lost.is_empty() {
+            warn!(worker = &*worker.id, born_unix_ms = worker.born_unix_ms, runs = lost.len(); "runs lost: {why}");
+        }
+        for (ended, checkpoint) in lost {
+            self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
+        }
+        if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
+            && known.announcement.worker == *worker
+        {
+            known.strays.clear();
+        }
+    }
+}
+
+impl State {
+    /// Notes a change of a job's progress and returns its revision.
+    pub(crate) fn touch(&mut self, id: &JobId) -> u64 {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return 0;
+        };
+        job.revision += 1;
+        self.dirty.insert(id.clone());
+        job.revision
+    }
+
+    /// Notes that there is something to tell a worker.
+    pub(crate) fn tell(&mut self, worker: &WorkerId) {
+        self.to_tell.insert(worker.clone());
+    }
+
+    /// Forgets the runs of a unit that are over; returns whether the job's progress has changed.
+    pub(crate) fn settle(&mut self, id: &JobId, unit: &nutmegwalk_workload::UnitId) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        let Some(live) = job.units.get_mut(unit) else {
+            return false;
+        };
+        let mut is_changed = false;
+        let over: Vec<u32> = live
+            .runs
+            .iter()
+            .filter(|run| run.is_over())
+            .map(|run| run.run)
+            .collect();
+        live.runs.retain(|run| !run.is_over());
+        for run in over {
+            let has_attempt = job
+                .progress
+                .unit(unit)
+                .is_some_and(|unit| unit.attempts.iter().any(|attempt| attempt.run == run));
+            if has_attempt {
+                job.progress.close_attempt(unit, run);
+                is_changed = true;
+            }
+        }
+        is_changed
+    }
+
+    /// Forgets the runs of a job that are over.
+    pub(crate) fn drop_ended_runs(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let units: Vec<nutmegwalk_workload::UnitId> = job.units.keys().cloned().collect();
+        for unit in units {
+            self.settle(id, &unit);
+        }
+    }
+}
+
+pub(crate) fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/intake/src/caller.rs
@@ -0,0 +1,74 @@
+//! Who calls, and which queue the call selects.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegwalk_base::CustomerId;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_policy::PolicyView;
+use nutmegwalk_workload::JobConfiguration;
+use nutmegwalk_workload::Queue;
+
+/// An authenticated call to a queue, under one version of the configuration.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The configuration under which the call is handled.
+    pub configuration: Rc<JobConfiguration>,
+    /// The queue that the call selects.
+    pub queue: Queue,
+    /// The rest of the path after the queue's prefix.
+    pub rest: Box<str>,
+    /// The customer; `None` on a queue that anybody may use.
+    pub customer: Option<CustomerId>,
+}
+
+impl Caller {
+    /// Selects the queue and authenticates the call.
+    ///
+    /// `max_age` is the age of the view beyond which a key may have been taken away without this process
+    /// knowing; `None` to go on with an old view.
+    ///
+    /// # Errors
+    /// `stale_view` when no configuration or no recent one is known, `not_found` when no queue is
+    /// selected, `unauthenticated` without a key that is in force.
+    pub fn identify(
+        policy: &PolicyView,
+        max_age: Option<Duration>,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<Self> {
+        let configuration = policy.configuration();
+        if configuration.version == 0 {
+            let detail = "no configuration is known yet";
+            return Err(Error::new(ErrorKind::StaleView, detail));
+        }
+        let age = policy.age().unwrap_or(Duration::MAX);
+        if max_age.is_some_and(|limit| age > limit) {
+            let detail = format!("the configuration was last confirmed {age:?} ago");
+            return Err(Error::new(ErrorKind::StaleView, detail));
+        }
+        let Some(queue) = configuration.select(host, path).cloned() else {
+            let detail = format!("no queue has host {host} and path {path}");
+            return Err(Error::new(ErrorKind::NotFound, detail));
+        };
+        let known = key.and_then(|key| configuration.keys.get(key).cloned());
+        let customer = match known {
+            Some(customer) => Some(customer),
+            None if queue.is_anonymous => None,
+            None => {
+                let detail = "the key is missing or not in force";
+                return Err(Error::new(ErrorKind::Unauthenticated, detail));
+            }
+        };
+        let rest = path[queue.path_prefix.len()..].into();
+        Ok(Self {
+            configuration,
+            queue,
+            rest,
+            customer,
+        })
+    }
+}
--- /dev/null
+++ b/crates/intake/src/intake.rs
@@ -0,0 +1,214 @@
+//! Accepting and cancelling jobs, and telling their state.
+
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+
+use crate::Caller;
+use crate::JobView;
+use crate::KnownJob;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_store::Duty;
+use nutmegwalk_store::StoreClient;
+use nutmegwalk_store::Transaction;
+use nutmegwalk_store::TransactionOutcome;
+use nutmegwalk_workload::JobRecord;
+use nutmegwalk_workload::JobRow;
+use nutmegwalk_workload::JobSpec;
+use nutmegwalk_workload::JobState;
+
+/// Settings of the callers' side.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IntakeSettings {
+    /// Time for a write or read on behalf of a caller. It lies well below the time that callers give,
+    /// so that they hear of a failure while they can still try another host.
+    pub store_deadline: Duration,
+    /// Age of the view of jobs beyond which it is not used to count waiting jobs.
+    pub max_view_age: Duration,
+}
+
+impl Default for IntakeSettings {
+    fn default() -> Self {
+        Self {
+            store_deadline: Duration::from_millis(1_200),
+            max_view_age: Duration::from_millis(4_000),
+        }
+    }
+}
+
+/// The callers' side of a domain.
+pub struct Intake {
+    settings: IntakeSettings,
+    store: StoreClient,
+    view: JobView,
+}
+
+impl Intake {
+    /// Creates the callers' side over the store and a view of its jobs.
+    #[must_use]
+    pub fn new(settings: IntakeSettings, store: StoreClient, view: JobView) -> Self {
+        Self {
+            settings,
+            store,
+            view,
+        }
+    }
+
+    /// Accepts a job; one that was accepted before under the same id is not accepted again.
+    ///
+    /// # Errors
+    /// `store_unavailable` when the job was not accepted and never runs, `store_unknown` when nobody can
+    /// tell, `bad_request` when it is malformed, `forbidden` when the id belongs to another customer.
+    pub async fn submit(
+        &self,
+        caller: &Caller,
+        id: &str,
+        spec: JobSpec,
+        limit: Duration,
+    ) -> Result<()> {
+        if let Some(known) = self.view.get(id) {
+            return self.accepted_before(caller, id, &known);
+        }
+        if let Err(problem) = spec.check() {
+            return Err(Error::new(ErrorKind::BadRequest, problem.to_string()));
+        }
+        let record = JobRecord {
+            customer: caller.customer.clone(),
+            queue: caller.queue.name.clone(),
+            policy: caller.queue.policy.clone(),
+            config_version: caller.configuration.version,
+            accepted_unix_ms: clock::unix_ms(),
+            spec,
+        };
+        let key = JobRow::Accepted.key(id);
+        let value = serde_json::to_string(&record)
+            .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
+        let transaction = Transaction::new()
+            .with_absent(key.clone())
+            .with_put(key, value);
+        let deadline = limit.min(self.settings.store_deadline);
+        let outcome = self
+            .store
+            .transact(Duty::Acceptance, &transaction, deadline)
+            .await;
+        match outcome {
+            Ok(TransactionOutcome::Committed { version }) => {
+                info!(
+                    job = id,
+                    queue = &*record.queue,
+                    customer = record.customer.as_deref().unwrap_or(""),
+                    config_version = record.config_version,
+                    row_version = version;
+                    "accepted"
+                );
+                self.view.note_accepted(id, &record);
+                Ok(())
+            }
+            Ok(TransactionOutcome::Rejected { .. }) => match self.find(id, deadline).await? {
+                Some(known) => self.accepted_before(caller, id, &known),
+                None => {
+                    let detail = "a row of the job was there and is gone";
+                    Err(Error::new(ErrorKind::StoreUnknown, detail))
+                }
+            },
+            Err(error) => {
+                warn!(job = id, queue = &*record.queue, outcome = error.outcome().name(); "not accepted: {error}");
+                Err(error)
+            }
+        }
+    }
+
+    fn accepted_before(&self, caller: &Caller, id: &str, known: &KnownJob) -> Result<()> {
+        if known.customer != caller.customer {
+            let detail = format!("job {id} belongs to another customer");
+            return Err(Error::new(ErrorKind::Forbidden, detail));
+        }
+        info!(job = id; "accepted before");
+        Ok(())
+    }
+
+    /// Returns the state of a job.
+    ///
+    /// # Errors
+    /// `not_found` when the customer has no such job, `store_unavailable` when that cannot be told.
+    pub async fn state(&self, caller: &Caller, id: &str, limit: Duration) -> Result<JobState> {
+        self.own_job(caller, id, limit).await.map(|job| job.state())
+    }
+
+    /// Cancels a job that has not ended.
+    ///
+    /// # Errors
+    /// `not_found` when the customer has no such job or it has ended, `store_unavailable` or
+    /// `store_unknown` when the store did not take the wish.
+    pub async fn cancel(&self, caller: &Caller, id: &str, limit: Duration) -> Result<()> {
+        let known = self.own_job(caller, id, limit).await?;
+        match known.state() {
+            JobState::Cancelled => return Ok(()),
+            JobState::Completed | JobState::Failed => {
+                let detail = format!("job {id} has ended");
+                return Err(Error::new(ErrorKind::NotFound, detail));
+            }
+            JobState::Pending | JobState::Running => {}
+        }
+        let key = JobRow::Cancelled.key(id);
+        let transaction = Transaction::new()
+            .with_absent(key.clone())
+            .with_put(key, "{}");
+        let deadline = limit.min(self.settings.store_deadline);
+        let outcome = self
+            .store
+            .transact(Duty::Acceptance, &transaction, deadline)
+            .await;
+        match outcome {
+            // A rejection means that the wish is there already.
+            Ok(_) => {
+                info!(job = id; "cancel stored");
+                self.view.note_cancelled(id);
+                Ok(())
+            }
+            Err(error) => {
+                warn!(job = id, outcome = error.outcome().name(); "not cancelled: {error}");
+                Err(error)
+            }
+        }
+    }
+
+    /// Returns the number of the queue's accepted jobs of which no task was started.
+    ///
+    /// # Errors
+    /// `stale_view` when the jobs were last read too long ago.
+    pub fn waiting(&self, caller: &Caller) -> Result<usize> {
+        let age = self.view.age().unwrap_or(Duration::MAX);
+        if age > self.settings.max_view_age {
+            let detail = format!("the jobs were last read {age:?} ago");
+            return Err(Error::new(ErrorKind::StaleView, detail));
+        }
+        Ok(self.view.waiting(&caller.queue.name))
+    }
+
+    async fn own_job(&self, caller: &Caller, id: &str, limit: Duration) -> Result<KnownJob> {
+        let found = match self.view.get(id) {
+            Some(known) => Some(known),
+            None => {
+                self.find(id, limit.min(self.settings.store_deadline))
+                    .await?
+            }
+        };
+        found
+            .filter(|job| job.customer == caller.customer)
+            .ok_or_else(|| Error::new(ErrorKind::NotFound, format!("there is no job {id}")))
+    }
+
+    /// Reads a job from the store, for one that the feed has not shown yet.
+    async fn find(&self, id: &str, deadline: Duration) -> Result<Option<KnownJob>> {
+        let keys = [JobRow::Accepted, JobRow::Cancelled, JobRow::Progress].map(|row| row.key(id));
+        let rows = self.store.get(Duty::Acceptance, &keys, deadline).await?;
+        let rows: Vec<_> = rows.into_iter().flatten().collect();
+        self.view.take_in(&rows);
+        Ok(self.view.get(id))
+    }
+}
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use log::info;
 use log::warn;
@@ -19,6 +18,7 @@
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
 use nutmegwalk_base::new_incarnation;
 use nutmegwalk_store::Duty;
 use nutmegwalk_store::Row;
@@ -89,7 +89,7 @@
         }
         let running = Running(&inner.is_running);
         loop {
-            let step = inner.state.borrow_mut().step(Instant::now());
+            let step = inner.state.borrow_mut().step(clock::now());
             match step {
                 Step::Sleep(time) => {
                     // A release is noticed within one interval.
@@ -108,7 +108,7 @@
     /// Returns the lease if it is held now; ask again immediately before each command.
     #[must_use]
     pub fn current(&self) -> Option<Held> {
-        self.inner.state.borrow().current(Instant::now())
+        self.inner.state.borrow().current(clock::now())
     }
 
     /// Returns a transaction with the condition that the epoch is still that of `held`; the caller adds
@@ -133,9 +133,9 @@
     /// `store_unavailable` when the release could not be written; the lease then lapses by itself.
     pub async fn release(&self) -> Result<()> {
         self.inner.state.borrow_mut().release();
-        let until = Instant::now() + self.inner.timing.lease;
+        let until = clock::now() + self.inner.timing.lease;
         while self.inner.is_running.get() {
-            if Instant::now() >= until {
+            if clock::now() >= until {
                 let detail = format!("the lease of {} could not be released", self.inner.duty);
                 return Err(Error::new(ErrorKind::StoreUnavailable, detail));
             }
@@ -167,7 +167,7 @@
             .get(Duty::Ownership, &keys, self.deadline())
             .await;
         // The instant after the answer, from which a contender counts.
-        let now = Instant::now();
+        let now = clock::now();
         match result.and_then(|rows| parse(&rows)) {
             Ok((row, epoch_row_version)) => {
                 self.state.borrow_mut().observe(row, epoch_row_version, now);
@@ -185,9 +185,7 @@
             .transact(Duty::Ownership, transaction, self.deadline())
             .await;
         let failure = outcome.as_ref().err().cloned();
-        self.state
-            .borrow_mut()
-            .finish_write(outcome, Instant::now());
+        self.state.borrow_mut().finish_write(outcome, clock::now());
         if let Some(error) = failure {
             warn!("cannot write the lease of {}: {error}", self.duty);
             self.pause().await;
@@ -204,7 +202,7 @@
         let epoch = self
             .state
             .borrow()
-            .current(Instant::now())
+            .current(clock::now())
             .map(|held| held.epoch);
         if self.reported.replace(epoch) != epoch {
             match epoch {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -146,11 +146,12 @@
     ) -> Result<Response> {
         let url = format!("http://{to}{path}");
         let invalid = |error: cyper::Error| Error::new(ErrorKind::BadRequest, error.to_string());
-        let mut request = self
-            .http
-            .request(method, url.as_str())
-            .and_then(|request| request.header(SECRET_HEADER, self.secret.expose()))
-            .map_err(invalid)?;
+        let mut request = self.http.request(method, url.as_str()).map_err(invalid)?;
+        if !self.secret.is_empty() {
+            request = request
+                .header(SECRET_HEADER, self.secret.expose())
+                .map_err(invalid)?;
+        }
         for (name, value) in headers {
             request = request.header(*name, *value).map_err(invalid)?;
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod message;
 mod server;
+pub mod shutdown;
 mod stream;
 
 pub use client::Client;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -118,6 +118,7 @@
     /// `unauthenticated` without the secret.
     pub fn check_secret(&self, secret: &Secret) -> Result<()> {
         match self.header(SECRET_HEADER) {
+            None if secret.is_empty() => Ok(()),
             Some(shown) if secret.matches(shown) => Ok(()),
             _ => Err(Error::new(
                 ErrorKind::Unauthenticated,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,9 +11,9 @@
 mod options;
 pub mod owner;
 pub mod settings;
-pub mod shutdown;
 
 pub use agent::Agent;
 pub use duty_store::DutyStore;
 pub use entry::Entry;
+pub use nutmegwalk_net::shutdown;
 pub use options::NodeOptions;
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of a domain's owner, without I/O.
+//!
+//! [`plan`] looks at the workers, the waiting units and the running units of one moment and says which
+//! units start where and which running units give way. It keeps no state between two calls, so a new owner
+//! decides as its predecessor did. [`WorkerHealth`] and [`RunTimes`] hold what was learned from ends.
+
+mod fit;
+mod health;
+mod hold;
+mod plan;
+mod preempt;
+mod rank;
+mod run_time;
+mod view;
+
+pub use health::HealthSettings;
+pub use health::WorkerHealth;
+pub use plan::plan;
+pub use run_time::RunTimes;
+pub use view::Plan;
+pub use view::Preemption;
+pub use view::RunningUnit;
+pub use view::Snapshot;
+pub use view::Start;
+pub use view::WaitReason;
+pub use view::Waiting;
+pub use view::WaitingUnit;
+pub use view::WorkerView;
--- /dev/null
+++ b/crates/policy/src/view.rs
@@ -0,0 +1,174 @@
+//! The view itself.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::error;
+use log::info;
+
+use crate::MaintenanceWave;
+use crate::OperatorRows;
+use crate::Subject;
+use nutmegwalk_base::DataCentreId;
+use nutmegwalk_base::signal::Signal;
+use nutmegwalk_store::Change;
+use nutmegwalk_store::ChangeFeed;
+use nutmegwalk_store::Follower;
+use nutmegwalk_store::Replica;
+use nutmegwalk_store::Row;
+use nutmegwalk_workload::JobConfiguration;
+
+/// What operators have written; clones share everything.
+#[derive(Clone)]
+pub struct PolicyView {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    rows: Rc<dyn OperatorRows>,
+    follower: Follower,
+    configuration: RefCell<Rc<JobConfiguration>>,
+    out_of_service: RefCell<BTreeSet<DataCentreId>>,
+    waves: RefCell<BTreeMap<u64, MaintenanceWave>>,
+    changed: RefCell<Vec<Signal>>,
+}
+
+impl PolicyView {
+    /// Creates a view that knows nothing yet.
+    #[must_use]
+    pub fn new(feed: Rc<dyn ChangeFeed>, rows: Rc<dyn OperatorRows>) -> Self {
+        let follower = Follower::new(feed, rows.prefix());
+        Self {
+            inner: Rc::new(Inner {
+                rows,
+                follower,
+                configuration: RefCell::default(),
+                out_of_service: RefCell::default(),
+                waves: RefCell::default(),
+                changed: RefCell::default(),
+            }),
+        }
+    }
+
+    /// Follows the rows until the task is dropped.
+    pub async fn run(&self) {
+        self.inner.follower.run(&*self.inner).await;
+    }
+
+    /// Adds a signal that is raised after each change.
+    pub fn subscribe(&self, changed: Signal) {
+        self.inner.changed.borrow_mut().push(changed);
+    }
+
+    /// Returns the newest configuration.
+    #[must_use]
+    pub fn configuration(&self) -> Rc<JobConfiguration> {
+        Rc::clone(&self.inner.configuration.borrow())
+    }
+
+    /// Returns whether operators have taken a data centre out of service.
+    #[must_use]
+    pub fn is_out_of_service(&self, data_centre: &str) -> bool {
+        self.inner.out_of_service.borrow().contains(data_centre)
+    }
+
+    /// Returns the waves of maintenance by number.
+    #[must_use]
+    pub fn waves(&self) -> BTreeMap<u64, MaintenanceWave> {
+        self.inner.waves.borrow().clone()
+    }
+
+    /// Returns whether a configuration is known.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.inner.configuration.borrow().version > 0
+    }
+
+    /// Returns how long ago the view was current for certain; `None` before the first read.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        self.inner.follower.age()
+    }
+}
+
+impl Inner {
+    fn put(&self, row: &Row) {
+        match self.rows.subject(&row.key) {
+            Subject::Configuration => match self.rows.configuration(&row.value) {
+                Ok(configuration) => self.adopt(configuration),
+                Err(error) => {
+                    error!(key = &*row.key, version = row.version; "the configuration is not used: {error}");
+                }
+            },
+            Subject::OutOfService(data_centre) => {
+                let mut out = self.out_of_service.borrow_mut();
+                if out.insert(data_centre.clone()) {
+                    info!(data_centre = &*data_centre, version = row.version; "data centre taken out of service");
+                }
+            }
+            Subject::Wave(number) => match self.rows.wave(&row.value) {
+                Ok(wave) => {
+                    info!(wave = number, version = row.version; "wave of maintenance requested");
+                    self.waves.borrow_mut().insert(number, wave);
+                }
+                Err(error) => {
+                    error!(key = &*row.key, version = row.version; "the wave is not used: {error}");
+                }
+            },
+            Subject::Other => {}
+        }
+    }
+
+    fn delete(&self, key: &str) {
+        match self.rows.subject(key) {
+            Subject::OutOfService(data_centre) => {
+                if self.out_of_service.borrow_mut().remove(&data_centre) {
+                    info!(data_centre = &*data_centre; "data centre returned to service");
+                }
+            }
+            Subject::Wave(number) => {
+                self.waves.borrow_mut().remove(&number);
+            }
+            Subject::Configuration | Subject::Other => {}
+        }
+    }
+
+    /// Moves to a configuration unless it is older than the one in force.
+    fn adopt(&self, configuration: JobConfiguration) {
+        let mut current = self.configuration.borrow_mut();
+        if configuration.version > current.version {
+            info!(
+                version = configuration.version,
+                before = current.version;
+                "configuration in force"
+            );
+            *current = Rc::new(configuration);
+        }
+    }
+
+    fn notify(&self) {
+        for signal in self.changed.borrow().iter() {
+            signal.raise();
+        }
+    }
+}
+
+impl Replica for Inner {
+    fn reset(&self, rows: Vec<Row>) {
+        self.out_of_service.borrow_mut().clear();
+        self.waves.borrow_mut().clear();
+        rows.iter().for_each(|row| self.put(row));
+        self.notify();
+    }
+
+    fn apply(&self, change: Change) {
+        match change {
+            Change::Put(row) => self.put(&row),
+            Change::Delete { key, .. } => self.delete(&key),
+        }
+        self.notify();
+    }
+}
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -138,6 +138,8 @@
     pub epoch: Epoch,
     /// Life of the worker that is meant.
     pub worker: WorkerRef,
+    /// Ends up to this number are stored, so that the worker may forget them.
+    pub acknowledged: u64,
     /// Tasks to start.
     pub starts: Vec<StartOrder>,
     /// Runs to stop.
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -64,8 +64,13 @@
             return Err(Error::new(ErrorKind::StaleEpoch, detail));
         }
         state.epoch = orders.epoch;
-        match &state.worker {
-            Some(worker) if *worker.worker() == orders.worker => Ok(()),
+        match &mut state.worker {
+            Some(worker) if *worker.worker() == orders.worker => {
+                if worker.acknowledge(orders.acknowledged) {
+                    self.inner.poke();
+                }
+                Ok(())
+            }
             _ => {
                 let detail = format!("worker {} is not here", orders.worker.id);
                 Err(Error::new(ErrorKind::NotFound, detail))
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -125,6 +125,16 @@
             || self.ended.iter().any(|end| end.run == *run)
     }
 
+    /// Drops the ends that the owner has stored; returns whether there were any.
+    pub(crate) fn acknowledge(&mut self, number: u64) -> bool {
+        if number <= self.acknowledged {
+            return false;
+        }
+        self.acknowledged = number;
+        self.ended.retain(|end| end.number > number);
+        true
+    }
+
     /// Takes in a list; returns whether the owner should hear of it at once.
     fn absorb(&mut self, answer: HoldAnswer) -> bool {
         let mut running = answer.running;
@@ -268,12 +278,8 @@
         let mut is_acknowledged = false;
         if let Some(worker) = &mut state.worker
             && answer.worker.as_ref() == Some(worker.worker())
-            && answer.acknowledged > worker.acknowledged
         {
-            worker.acknowledged = answer.acknowledged;
-            let acknowledged = worker.acknowledged;
-            worker.ended.retain(|end| end.number > acknowledged);
-            is_acknowledged = true;
+            is_acknowledged = worker.acknowledge(answer.acknowledged);
         }
         if is_first || is_renewable || is_acknowledged {
             self.inner.poke.raise();
@@ -319,6 +325,10 @@
         self.changed.raise();
     }
 
+    pub(crate) fn poke(&self) {
+        self.poke.raise();
+    }
+
     /// Returns the next look at the worker, and whether ends wait for the owner.
     fn next_hold(&self) -> Option<(HoldRequest, bool)> {
         let state = self.state.borrow();
@@ -335,7 +345,10 @@
         } else {
             self.timings.busy_wait
         };
-        Some((state.hold_request(worker, &self.timings, wait), is_unacknowledged))
+        Some((
+            state.hold_request(worker, &self.timings, wait),
+            is_unacknowledged,
+        ))
     }
 
     /// Looks at the worker once.
--- a/crates/supervisor/src/worker.rs
+++ b/crates/supervisor/src/worker.rs
@@ -56,7 +56,7 @@
 }
 
 /// One run of one task.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TaskRun {
     /// The task.
     pub task: TaskId,
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -169,8 +169,7 @@
     /// Returns whether all units of a step are done.
     #[must_use]
     pub fn is_step_done(&self, occurrence: Occurrence, step: StepIndex) -> bool {
-        self.is_finished(occurrence)
-            || self.step(occurrence, step).is_some_and(|step| step.is_done)
+        self.is_finished(occurrence) || self.step(occurrence, step).is_some_and(|step| step.is_done)
     }
 
     /// Returns the progress of a unit; `None` when it was never started or its step is done.
@@ -221,23 +220,25 @@
         job: &'a str,
         spec: &'a JobSpec,
     ) -> impl Iterator<Item = (UnitId, &'a Attempt)> {
-        self.occurrences.iter().flat_map(move |(occurrence, steps)| {
-            (0..).zip(steps).flat_map(move |(step, progress)| {
-                let units = (0..).zip(&progress.units);
-                units.flat_map(move |(index, unit)| {
-                    unit.attempts.iter().map(move |attempt| {
-                        let is_gang = spec.step(step).is_some_and(|step| step.is_gang);
-                        let id = UnitId {
-                            job: job.into(),
-                            occurrence: *occurrence,
-                            step,
-                            task: (!is_gang).then_some(index),
-                        };
-                        (id, attempt)
+        self.occurrences
+            .iter()
+            .flat_map(move |(occurrence, steps)| {
+                (0..).zip(steps).flat_map(move |(step, progress)| {
+                    let units = (0..).zip(&progress.units);
+                    units.flat_map(move |(index, unit)| {
+                        unit.attempts.iter().map(move |attempt| {
+                            let is_gang = spec.step(step).is_some_and(|step| step.is_gang);
+                            let id = UnitId {
+                                job: job.into(),
+                                occurrence: *occurrence,
+                                step,
+                                task: (!is_gang).then_some(index),
+                            };
+                            (id, attempt)
+                        })
                     })
                 })
             })
-        })
     }
 
     /// Begins a run of a unit on `workers`, one for each of its tasks, and returns the run's number.
@@ -390,7 +391,10 @@
     unit.task.unwrap_or(0) as usize
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
 fn is_zero(value: &u32) -> bool {
     *value == 0
 }
--- a/crates/workload/src/spec.rs
+++ b/crates/workload/src/spec.rs
@@ -230,7 +230,10 @@
                 "step {step} waits for step {after}, which does not come before it"
             ),
             Self::TaskCount(count) => {
-                write!(formatter, "{count} tasks; a job has at most {MAX_SPEC_TASKS}")
+                write!(
+                    formatter,
+                    "{count} tasks; a job has at most {MAX_SPEC_TASKS}"
+                )
             }
             Self::RepeatCount => formatter.write_str("a job that recurs has at least 1 occurrence"),
         }
