Place steps as a whole and plan ahead by conservative backfilling

Ruled out: wrong reports of workers (the log shows the owner placing the units itself). Change: a waiting step is one entry of a decision; a profile of free room over time gives each step the earliest place that does not delay a more urgent one; work beyond a guarantee displaces at most its own work.

--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use nutmegwalk_placement::WaitReason;
 use nutmegwalk_store::RowVersion;
 use nutmegwalk_workload::Attempt;
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRecord;
+use nutmegwalk_workload::Occurrence;
 use nutmegwalk_workload::Run;
+use nutmegwalk_workload::StepIndex;
 use nutmegwalk_workload::StepSpec;
 use nutmegwalk_workload::TaskIndex;
 use nutmegwalk_workload::UnitId;
@@ -170,6 +173,8 @@
     pub(crate) stored_revision: u64,
     pub(crate) is_writing: bool,
     pub(crate) units: BTreeMap<UnitId, LiveUnit>,
+    /// Why steps wait, as it was logged last.
+    pub(crate) waits: BTreeMap<(Occurrence, StepIndex), WaitReason>,
     /// When the job was accepted, as far as the owner can tell.
     pub(crate) accepted_at: Instant,
     pub(crate) ended_at: Option<Instant>,
@@ -185,6 +190,7 @@
             stored_revision: 0,
             is_writing: false,
             units: BTreeMap::new(),
+            waits: BTreeMap::new(),
             accepted_at,
             ended_at: None,
         }
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -24,13 +24,18 @@
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::Start;
-use nutmegwalk_placement::WaitingUnit;
+use nutmegwalk_placement::Waiting;
+use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
 use nutmegwalk_placement::plan;
+use nutmegwalk_workload::Attempt;
 use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::Occurrence;
 use nutmegwalk_workload::QueuePolicy;
 use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::Run;
+use nutmegwalk_workload::StepIndex;
+use nutmegwalk_workload::TaskIndex;
 use nutmegwalk_workload::UnitId;
 use nutmegwalk_workload::WorkerRef;
 
@@ -194,20 +199,23 @@
         for preemption in &plan.preemptions {
             let victim = &snapshot.running[preemption.running];
             let beneficiary = &snapshot.waiting[preemption.beneficiary];
-            self.preempt(victim, &beneficiary.unit);
+            self.preempt(victim, beneficiary);
         }
         for start in &plan.starts {
             self.start(&snapshot, start, &lives, now);
         }
+        for waiting in &plan.waits {
+            self.note_wait(&snapshot.waiting[waiting.waiting], waiting);
+        }
     }
 
-    fn preempt(&self, victim: &RunningUnit, beneficiary: &UnitId) {
+    fn preempt(&self, victim: &RunningUnit, beneficiary: &WaitingStep) {
         info!(
             unit:% = victim.unit,
             run = victim.run,
-            beneficiary:% = beneficiary,
+            beneficiary = &*beneficiary.job,
             loss_core_s = victim.loss_core_s,
-            guaranteed = victim.is_guaranteed;
+            beneficiary_guaranteed = beneficiary.is_guaranteed;
             "preempted"
         );
         let mut state = self.state.borrow_mut();
@@ -226,41 +234,69 @@
     }
 
     fn start(&self, snapshot: &Snapshot, start: &Start, lives: &[WorkerRef], now: Instant) {
-        let waiting = &snapshot.waiting[start.waiting];
-        let workers: Vec<WorkerRef> = start.workers.iter().map(|i| lives[*i].clone()).collect();
+        let step = &snapshot.waiting[start.waiting];
         let mut state = self.state.borrow_mut();
-        let Some(job) = state.jobs.get_mut(&waiting.unit.job) else {
+        let Some(job) = state.jobs.get_mut(&step.job) else {
             return;
         };
-        let spec = job.record.spec.clone();
-        let run = job.progress.begin(&spec, &waiting.unit, workers);
-        let revision = job.revision + 1;
-        let Some(progress) = job.progress.unit(&waiting.unit) else {
-            return;
+        let seats = || {
+            start
+                .seats
+                .iter()
+                .map(|(task, worker)| (*task, &lives[*worker]))
         };
-        let Some(attempt) = progress.attempts.iter().find(|attempt| attempt.run == run) else {
+        let mut runs = Vec::new();
+        if step.is_gang {
+            let unit = unit_id(step, None);
+            let workers = seats().map(|(_, worker)| worker.clone()).collect();
+            runs.push(begin(job, unit, workers, now));
+        } else {
+            for (task, worker) in seats() {
+                let unit = unit_id(step, Some(task));
+                runs.push(begin(job, unit, vec![worker.clone()], now));
+            }
+        }
+        job.waits.remove(&(step.occurrence, step.step));
+        let places: Vec<String> = seats()
+            .map(|(task, worker)| format!("{task}@{}", worker.id))
+            .collect();
+        info!(
+            job = &*step.job,
+            occurrence = step.occurrence,
+            step = step.step,
+            run = runs.iter().max().copied().unwrap_or(0),
+            places = places.join(" ").as_str(),
+            waited_ms = as_ms(step.waited),
+            slack_ms = as_ms(step.slack()),
+            priority = step.priority,
+            guaranteed = step.is_guaranteed;
+            "placed"
+        );
+        state.touch(&step.job);
+    }
+
+    /// Logs why tasks wait, when the reason is another one than before.
+    fn note_wait(&self, step: &WaitingStep, waiting: &Waiting) {
+        let mut state = self.state.borrow_mut();
+        let Some(job) = state.jobs.get_mut(&step.job) else {
             return;
         };
-        let mut live = LiveRun::new(&waiting.unit, attempt, revision, SeatState::Assigned, now);
-        live.resumed_from.clone_from(&progress.checkpoint);
-        let names: Vec<&str> = attempt.workers.iter().map(|worker| &*worker.id).collect();
+        let key = (step.occurrence, step.step);
+        if job.waits.insert(key, waiting.reason) == Some(waiting.reason) {
+            return;
+        }
         info!(
-            job = &*waiting.unit.job,
-            unit:% = waiting.unit,
-            run = run,
-            workers = names.join(",").as_str(),
-            waited_ms = as_ms(waiting.waited),
-            slack_ms = as_ms(waiting.slack()),
-            guaranteed = waiting.is_guaranteed,
-            resumed = live.resumed_from.is_some();
-            "placed"
+            job = &*step.job,
+            occurrence = step.occurrence,
+            step = step.step,
+            tasks = waiting.tasks,
+            reason = waiting.reason.name(),
+            starts_in_ms = waiting.starts_in.map_or(0, as_ms),
+            slack_ms = as_ms(step.slack()),
+            priority = step.priority,
+            guaranteed = step.is_guaranteed;
+            "waits"
         );
-        job.units
-            .entry(waiting.unit.clone())
-            .or_default()
-            .runs
-            .push(live);
-        state.touch(&waiting.unit.job);
     }
 
     /// Builds what a decision looks at, and the life of each worker in it.
@@ -312,19 +348,18 @@
                     }
                     snapshot.running.push(running);
                 }
-                if live.runs.is_empty() && live.ready_since.is_some() {
-                    snapshot.waiting.push(waiting_unit(
-                        job,
-                        unit,
-                        &policy,
-                        is_guaranteed,
-                        &urgency,
-                        &index_of,
-                        state,
-                        now,
-                    ));
-                }
             }
+            let steps = WaitingSteps {
+                id,
+                job,
+                policy: &policy,
+                is_guaranteed,
+                urgency: &urgency,
+                index_of: &index_of,
+                worker_count: state.workers.len(),
+                now,
+            };
+            snapshot.waiting.extend(steps.collect());
         }
         (snapshot, lives)
     }
@@ -580,75 +615,135 @@
     left.max(SHORTEST)
 }
 
-#[expect(
-    clippy::too_many_arguments,
-    reason = "gathers one view from many sources"
-)]
-fn waiting_unit(
-    job: &Job,
-    unit: &UnitId,
-    policy: &QueuePolicy,
+/// Begins a run in the job's progress, to be started when that is stored.
+fn begin(job: &mut Job, unit: UnitId, workers: Vec<WorkerRef>, now: Instant) -> Run {
+    let spec = &job.record.spec;
+    let checkpoint = job
+        .progress
+        .unit(&unit)
+        .and_then(|unit| unit.checkpoint.clone());
+    let run = job.progress.begin(spec, &unit, workers.clone());
+    let attempt = Attempt {
+        run,
+        has_failed: false,
+        workers,
+    };
+    let mut live = LiveRun::new(&unit, &attempt, job.revision + 1, SeatState::Assigned, now);
+    live.resumed_from = checkpoint;
+    job.units.entry(unit).or_default().runs.push(live);
+    run
+}
+
+fn unit_id(step: &WaitingStep, task: Option<TaskIndex>) -> UnitId {
+    UnitId {
+        job: step.job.clone(),
+        occurrence: step.occurrence,
+        step: step.step,
+        task,
+    }
+}
+
+/// Gathers the tasks of a job that wait, by step.
+struct WaitingSteps<'a> {
+    id: &'a JobId,
+    job: &'a Job,
+    policy: &'a QueuePolicy,
     is_guaranteed: bool,
-    urgency: &Urgency,
-    index_of: &BTreeMap<&WorkerRef, usize>,
-    state: &State,
+    urgency: &'a Urgency,
+    index_of: &'a BTreeMap<&'a WorkerRef, usize>,
+    worker_count: usize,
     now: Instant,
-) -> WaitingUnit {
-    let step = job.step_of(unit);
-    let live = job.units.get(unit);
-    let mut step_tasks: BTreeMap<usize, u32> = BTreeMap::new();
-    let same_step = job
-        .units
-        .iter()
-        .filter(|(other, _)| other.step == unit.step && other.occurrence == unit.occurrence);
-    for (_, other) in same_step {
-        for seat in other.runs.iter().flat_map(|run| &run.seats) {
+}
+
+impl WaitingSteps<'_> {
+    fn collect(&self) -> Vec<WaitingStep> {
+        let mut steps: BTreeMap<(Occurrence, StepIndex), Vec<&UnitId>> = BTreeMap::new();
+        for (unit, live) in &self.job.units {
+            if live.runs.is_empty() && live.ready_since.is_some() {
+                let key = (unit.occurrence, unit.step);
+                steps.entry(key).or_default().push(unit);
+            }
+        }
+        steps
+            .into_values()
+            .map(|units| self.waiting_step(&units))
+            .collect()
+    }
+
+    fn waiting_step(&self, units: &[&UnitId]) -> WaitingStep {
+        let first = units[0];
+        let step = self.job.step_of(first);
+        let tasks = match first.task {
+            None => (0..step.tasks).collect(),
+            Some(_) => units.iter().filter_map(|unit| unit.task).collect(),
+        };
+        let time = |times: &BTreeMap<Occurrence, Duration>| {
+            times.get(&first.occurrence).copied().unwrap_or_default()
+        };
+        let waited = units
+            .iter()
+            .filter_map(|unit| self.job.units.get(*unit)?.ready_since)
+            .map(|since| self.now.saturating_duration_since(since))
+            .max();
+        WaitingStep {
+            job: self.id.clone(),
+            occurrence: first.occurrence,
+            step: first.step,
+            tasks,
+            is_gang: step.is_gang,
+            service: self.policy.service.clone(),
+            demand: step.booked(),
+            priority: self.policy.priority,
+            is_guaranteed: self.is_guaranteed,
+            is_rack_sensitive: step.is_rack_sensitive,
+            data_rack: step.data_rack.clone(),
+            required_label: step.required_label.clone(),
+            max_tasks_per_worker: step.max_tasks_per_worker,
+            step_tasks: self.step_tasks(first),
+            excluded: self.excluded(units),
+            allowed: None,
+            run_time: self.urgency.run_times[first.step as usize],
+            waited: waited.unwrap_or_default(),
+            due_in: time(&self.urgency.due_in),
+            after_it: self.urgency.after[first.step as usize],
+            worthless_in: time(&self.urgency.worthless_in),
+        }
+    }
+
+    /// Returns the workers of the step's tasks that are started already.
+    fn step_tasks(&self, of: &UnitId) -> Vec<(usize, u32)> {
+        let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
+        let same_step = self
+            .job
+            .units
+            .iter()
+            .filter(|(unit, _)| unit.step == of.step && unit.occurrence == of.occurrence);
+        for seat in same_step
+            .flat_map(|(_, live)| &live.runs)
+            .flat_map(|run| &run.seats)
+        {
             if seat.state != SeatState::Ended
-                && let Some(index) = index_of.get(&seat.worker)
+                && let Some(index) = self.index_of.get(&seat.worker)
             {
-                *step_tasks.entry(*index).or_default() += 1;
+                *counts.entry(*index).or_default() += 1;
             }
         }
+        counts.into_iter().collect()
     }
-    let failed_on = live
-        .map(|live| live.failed_on.as_slice())
-        .unwrap_or_default();
-    let mut excluded: Vec<usize> = failed_on
-        .iter()
-        .filter_map(|worker| index_of.get(worker).copied())
-        .collect();
-    if excluded.len() * 2 > state.workers.len() {
-        excluded.clear();
-    }
-    let waited = live
-        .and_then(|live| live.ready_since)
-        .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-    WaitingUnit {
-        unit: unit.clone(),
-        service: policy.service.clone(),
-        tasks: step.tasks_per_unit(),
-        demand: step.booked(),
-        priority: policy.priority,
-        is_guaranteed,
-        is_rack_sensitive: step.is_rack_sensitive,
-        data_rack: step.data_rack.clone(),
-        required_label: step.required_label.clone(),
-        max_tasks_per_worker: step.max_tasks_per_worker,
-        step_tasks: step_tasks.into_iter().collect(),
-        excluded,
-        allowed: None,
-        run_time: urgency.run_times[unit.step as usize],
-        waited,
-        due_in: urgency
-            .due_in
-            .get(&unit.occurrence)
-            .copied()
-            .unwrap_or_default(),
-        after_it: urgency.after[unit.step as usize],
-        worthless_in: urgency
-            .worthless_in
-            .get(&unit.occurrence)
-            .copied()
-            .unwrap_or_default(),
+
+    /// Returns the workers on which tasks of the step have failed, unless these are most of all workers.
+    fn excluded(&self, units: &[&UnitId]) -> Vec<usize> {
+        let mut excluded: Vec<usize> = units
+            .iter()
+            .filter_map(|unit| self.job.units.get(*unit))
+            .flat_map(|live| &live.failed_on)
+            .filter_map(|worker| self.index_of.get(worker).copied())
+            .collect();
+        excluded.sort_unstable();
+        excluded.dedup();
+        if excluded.len() * 2 > self.worker_count {
+            excluded.clear();
+        }
+        excluded
     }
 }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use log::Level;
 use log::info;
+use log::log;
 use log::warn;
 
 use crate::job::Job;
@@ -150,7 +152,14 @@
         let effect = job
             .progress
             .record_end(&spec, &ended.task, ended.run, kind, max_failures);
-        info!(
+        // The other members of a gang that is done end with it and say nothing new.
+        let level = if effect == EndEffect::Ignored {
+            Level::Debug
+        } else {
+            Level::Info
+        };
+        log!(
+            level,
             job = &*job_id,
             task:% = ended.task,
             run = ended.run,
--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -1,4 +1,4 @@
-//! Choice of workers for one unit.
+//! Choice of workers for the tasks of one step.
 //!
 //! Answers a load of mixed sizes: small tasks fill the fullest workers first, so that whole workers and
 //! racks stay free for the large gangs.
@@ -6,18 +6,15 @@
 use std::collections::BTreeMap;
 
 use nutmegwalk_base::RackId;
-use nutmegwalk_workload::Resources;
 
 use crate::Snapshot;
-use crate::WaitingUnit;
-
-/// Free room of each worker, in the order of [`Snapshot::workers`].
-pub(crate) type Room = Vec<Resources>;
+use crate::WaitingStep;
+use crate::profile::Room;
 
 /// A worker is not used when tasks take this many times as long there as elsewhere.
 const TOO_SLOW: f64 = 2.0;
 
-/// How far a place for a unit may be compromised.
+/// How far a place may be compromised.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Locality {
     /// Tasks run at full speed: in one rack if they are sensitive, near their data.
@@ -26,109 +23,129 @@
     Any,
 }
 
-/// Finds workers for all tasks of a unit in `room`.
-pub(crate) fn place(
-    snapshot: &Snapshot,
-    unit: &WaitingUnit,
-    room: &Room,
-    locality: Locality,
-) -> Option<Vec<usize>> {
-    let counts = counts(snapshot, unit, room);
-    match locality {
-        Locality::Any => fill(snapshot, unit, room, &counts),
-        Locality::Near => {
-            if let Some(rack) = &unit.data_rack {
-                return fill(snapshot, unit, room, &only_rack(snapshot, &counts, rack));
-            }
-            if !unit.is_rack_sensitive || unit.tasks == 1 {
-                return fill(snapshot, unit, room, &counts);
-            }
-            let rack = tightest_rack(snapshot, unit, room, &counts)?;
-            fill(snapshot, unit, room, &only_rack(snapshot, &counts, &rack))
-        }
-    }
-}
+/// Number of tasks of a step that each worker may still take, apart from room.
+pub(crate) type Allowance = Vec<u32>;
 
-/// Returns the number of tasks of the unit that each worker can take.
-pub(crate) fn counts(snapshot: &Snapshot, unit: &WaitingUnit, room: &Room) -> Vec<u32> {
-    let count = |index: usize| {
-        if !is_eligible(snapshot, unit, index) {
+/// Returns what each worker may take of a step, apart from room.
+pub(crate) fn allowance(snapshot: &Snapshot, step: &WaitingStep) -> Allowance {
+    let allowed = |index: usize| {
+        if !is_eligible(snapshot, step, index) {
             return 0;
         }
-        let by_room = unit.demand.count_in(room[index]);
-        let by_room = u32::try_from(by_room).unwrap_or(u32::MAX);
-        let by_spread = unit.max_tasks_per_worker.map_or(u32::MAX, |limit| {
-            let there = unit.step_tasks.iter().find(|(worker, _)| *worker == index);
+        step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
+            let there = step.step_tasks.iter().find(|(worker, _)| *worker == index);
             limit.saturating_sub(there.map_or(0, |(_, count)| *count))
-        });
-        by_room.min(by_spread).min(unit.tasks)
+        })
     };
-    (0..snapshot.workers.len()).map(count).collect()
+    (0..snapshot.workers.len()).map(allowed).collect()
 }
 
-/// Returns whether tasks of the unit may run on a worker at all.
-fn is_eligible(snapshot: &Snapshot, unit: &WaitingUnit, index: usize) -> bool {
+/// Returns whether tasks of the step may run on a worker at all.
+fn is_eligible(snapshot: &Snapshot, step: &WaitingStep, index: usize) -> bool {
     let worker = &snapshot.workers[index];
     worker.is_open
-        && worker.service == unit.service
-        && unit
+        && worker.service == step.service
+        && step
             .required_label
             .as_ref()
             .is_none_or(|label| worker.labels.contains(label))
-        && !unit.excluded.contains(&index)
-        && unit
+        && !step.excluded.contains(&index)
+        && step
             .allowed
             .as_ref()
             .is_none_or(|allowed| allowed.contains(&index))
         && worker.slowness < TOO_SLOW
-        && worker.leaves_in.is_none_or(|left| left > unit.run_time)
+        && worker.leaves_in.is_none_or(|left| left > step.run_time)
 }
 
-fn only_rack(snapshot: &Snapshot, counts: &[u32], rack: &RackId) -> Vec<u32> {
-    let keep = |(index, count): (usize, &u32)| {
-        let is_there = snapshot.workers[index].rack.as_ref() == Some(rack);
-        if is_there { *count } else { 0 }
+/// Finds workers for up to `tasks` tasks of a step in `room`: for all of them or none if it is a gang.
+pub(crate) fn place(
+    snapshot: &Snapshot,
+    step: &WaitingStep,
+    room: &Room,
+    allowance: &Allowance,
+    tasks: u32,
+    locality: Locality,
+) -> Vec<usize> {
+    let counts: Vec<u32> = room
+        .iter()
+        .zip(allowance)
+        .map(|(room, allowed)| {
+            let by_room = u32::try_from(step.demand.count_in(*room)).unwrap_or(u32::MAX);
+            by_room.min(*allowed).min(tasks)
+        })
+        .collect();
+    let counts = match locality {
+        Locality::Any => counts,
+        Locality::Near => match near(snapshot, step, room, &counts, tasks) {
+            Some(counts) => counts,
+            None => return Vec::new(),
+        },
     };
-    counts.iter().enumerate().map(keep).collect()
+    let total: u64 = counts.iter().map(|count| u64::from(*count)).sum();
+    if step.is_gang && total < u64::from(tasks) {
+        return Vec::new();
+    }
+    deal(snapshot, step, room, &counts, tasks)
 }
 
-/// Returns the rack that can take the whole unit and has the least room left over.
-fn tightest_rack(
+/// Leaves only the workers on which the tasks run at full speed.
+fn near(
     snapshot: &Snapshot,
-    unit: &WaitingUnit,
+    step: &WaitingStep,
     room: &Room,
     counts: &[u32],
-) -> Option<RackId> {
+    tasks: u32,
+) -> Option<Vec<u32>> {
+    let rack = match &step.data_rack {
+        Some(rack) => rack.clone(),
+        None if step.is_rack_sensitive && (tasks > 1 || !step.step_tasks.is_empty()) => {
+            rack_of_step(snapshot, step).or_else(|| tightest_rack(snapshot, room, counts, tasks))?
+        }
+        None => return Some(counts.to_vec()),
+    };
+    let keep = |(index, count): (usize, &u32)| {
+        let is_there = snapshot.workers[index].rack.as_ref() == Some(&rack);
+        if is_there { *count } else { 0 }
+    };
+    Some(counts.iter().enumerate().map(keep).collect())
+}
+
+/// Returns the rack on which other tasks of the step are.
+fn rack_of_step(snapshot: &Snapshot, step: &WaitingStep) -> Option<RackId> {
+    let (worker, _) = step.step_tasks.first()?;
+    snapshot.workers[*worker].rack.clone()
+}
+
+/// Returns the rack that can take all the tasks and has the least room left over.
+fn tightest_rack(snapshot: &Snapshot, room: &Room, counts: &[u32], tasks: u32) -> Option<RackId> {
     let mut racks: BTreeMap<&RackId, (u64, u64)> = BTreeMap::new();
     for (index, worker) in snapshot.workers.iter().enumerate() {
         if let Some(rack) = &worker.rack {
-            let (tasks, free) = racks.entry(rack).or_default();
-            *tasks += u64::from(counts[index]);
+            let (count, free) = racks.entry(rack).or_default();
+            *count += u64::from(counts[index]);
             *free += room[index].accelerators;
         }
     }
     racks
         .into_iter()
-        .filter(|(_, (tasks, _))| *tasks >= u64::from(unit.tasks))
+        .filter(|(_, (count, _))| *count >= u64::from(tasks))
         .min_by_key(|(_, (_, free))| *free)
         .map(|(rack, _)| rack.clone())
 }
 
-/// Deals the tasks to workers, the fullest sound ones first.
-fn fill(
+/// Deals tasks to workers, the fullest sound ones first.
+fn deal(
     snapshot: &Snapshot,
-    unit: &WaitingUnit,
+    step: &WaitingStep,
     room: &Room,
     counts: &[u32],
-) -> Option<Vec<usize>> {
-    let total: u64 = counts.iter().map(|count| u64::from(*count)).sum();
-    if total < u64::from(unit.tasks) {
-        return None;
-    }
+    tasks: u32,
+) -> Vec<usize> {
     let mut order: Vec<usize> = (0..counts.len()).filter(|i| counts[*i] > 0).collect();
     let leftover = |index: usize| {
         let count = u64::from(counts[index]);
-        room[index].minus(unit.demand.times(count))
+        room[index].minus(step.demand.times(count))
     };
     order.sort_by(|a, b| {
         let slowness = snapshot.workers[*a]
@@ -140,23 +157,16 @@
             .then(left_a.milli_cores.cmp(&left_b.milli_cores))
             .then(a.cmp(b))
     });
-    let mut places = Vec::with_capacity(unit.tasks as usize);
+    let mut places = Vec::with_capacity(tasks as usize);
     for index in order {
-        let missing = unit.tasks as usize - places.len();
+        let missing = tasks as usize - places.len();
         places.extend(std::iter::repeat_n(
             index,
             missing.min(counts[index] as usize),
         ));
-        if places.len() == unit.tasks as usize {
-            return Some(places);
+        if places.len() == tasks as usize {
+            break;
         }
     }
-    None
-}
-
-/// Takes the room of a placed unit.
-pub(crate) fn take(room: &mut Room, unit: &WaitingUnit, places: &[usize]) {
-    for index in places {
-        room[*index] = room[*index].minus(unit.demand);
-    }
+    places
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,9 +6,9 @@
 
 mod fit;
 mod health;
-mod hold;
 mod plan;
 mod preempt;
+mod profile;
 mod rank;
 mod run_time;
 mod view;
@@ -24,5 +24,5 @@
 pub use view::Start;
 pub use view::WaitReason;
 pub use view::Waiting;
-pub use view::WaitingUnit;
+pub use view::WaitingStep;
 pub use view::WorkerView;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,5 +1,10 @@
 //! The decision: who starts where, who gives way, who waits.
+//!
+//! Answers a load in which small tasks arrive faster than a large gang finds room: steps are looked at in
+//! order of urgency, and each takes the earliest place that does not delay a more urgent one
+//! (conservative backfilling). A step whose place is now starts.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::Plan;
@@ -8,24 +13,26 @@
 use crate::Start;
 use crate::WaitReason;
 use crate::Waiting;
-use crate::WaitingUnit;
+use crate::WaitingStep;
+use crate::fit::Allowance;
 use crate::fit::Locality;
-use crate::fit::Room;
-use crate::fit::counts;
+use crate::fit::allowance;
 use crate::fit::place;
-use crate::fit::take;
-use crate::hold::Hold;
-use crate::hold::STOPPING;
-use crate::hold::take_from_holds;
-use crate::hold::usable;
-use crate::preempt::victims;
+use crate::preempt::Search;
+use crate::profile::Profile;
+use crate::profile::Room;
+use crate::profile::STOPPING;
 use crate::rank::rank;
 
-/// Holds that are kept at once; more would leave too little room for backfill.
-const MAX_HOLDS: usize = 4;
-/// Time for which a unit under a guarantee waits for running work to end before others give way to it.
+/// Steps for which a place in the future is looked for; it bounds the time of a decision.
+const MAX_PLANNED: usize = 12;
+/// Time for which a step under a guarantee waits for running work to end before others give way to it.
 /// With the time to store the decision and to stop tasks it stays below the time promised for a reclaim.
 const RECLAIM_PATIENCE: Duration = Duration::from_millis(600);
+/// A step that is not guaranteed displaces others only if they lose at most this many times its own work.
+const MAX_LOSS_FACTOR: f64 = 1.0;
+/// Cores that an accelerator counts as when work is weighed.
+pub(crate) const CORES_PER_ACCELERATOR: u64 = 8;
 
 /// Decides for one moment.
 #[must_use]
@@ -42,164 +49,254 @@
 /// State of one decision.
 struct Planning<'a> {
     snapshot: &'a Snapshot,
-    /// Room that is free now.
-    free: Room,
-    holds: Vec<Hold>,
+    profile: Profile,
+    planned: usize,
+    taken: BTreeSet<usize>,
     plan: Plan,
 }
 
+/// The part of a step that is not placed yet.
+struct Rest {
+    tasks: u32,
+    allowance: Allowance,
+}
+
 impl<'a> Planning<'a> {
     fn new(snapshot: &'a Snapshot) -> Self {
         Self {
             snapshot,
-            free: snapshot
-                .workers
-                .iter()
-                .map(|worker| worker.free())
-                .collect(),
-            holds: Vec::new(),
+            profile: Profile::new(snapshot),
+            planned: 0,
+            taken: BTreeSet::new(),
             plan: Plan::default(),
         }
     }
 
     fn decide(&mut self, index: usize) {
-        let unit = &self.snapshot.waiting[index];
-        let locality = self.locality(unit);
-        let Some(locality) = locality else {
-            self.wait(index, WaitReason::NeverFits);
+        let step = &self.snapshot.waiting[index];
+        let mut rest = Rest {
+            tasks: step.count(),
+            allowance: allowance(self.snapshot, step),
+        };
+        let Some(locality) = self.locality(step, &rest) else {
+            self.wait(index, rest.tasks, WaitReason::NeverFits, None);
             return;
         };
-        let room = usable(&self.free, &self.holds, unit.run_time);
-        if let Some(places) = place(self.snapshot, unit, &room, locality) {
-            self.start(index, places);
+        self.start(index, &mut rest, locality);
+        if rest.tasks == 0 {
             return;
         }
-        if self.holds.len() >= MAX_HOLDS && !unit.is_guaranteed {
-            self.wait(index, WaitReason::NoRoom);
+        if self.planned >= MAX_PLANNED && !step.is_guaranteed {
+            self.wait(index, rest.tasks, WaitReason::Behind, None);
             return;
         }
-        let promised = self.unpromised();
-        let hold = Hold::find(self.snapshot, unit, &promised, locality);
-        let expected = hold.as_ref().map_or(Duration::MAX, |hold| hold.due_in);
-        if self.may_preempt(unit, expected)
-            && let Some(hold) = self.preempt(index, locality)
-        {
-            self.holds.push(hold);
-            self.wait(index, WaitReason::HasHold);
+        self.planned += 1;
+        let found = self.earliest(step, &rest, locality);
+        let starts_in = found.as_ref().map(|(time, _)| *time);
+        if self.preempt(index, &mut rest, locality, starts_in) {
             return;
         }
-        if let Some(places) = self.spread(unit, locality, expected) {
-            self.start(index, places);
+        if locality == Locality::Near && self.spread(index, &mut rest, starts_in) {
             return;
         }
-        match hold {
-            Some(hold) => {
-                self.holds.push(hold);
-                self.wait(index, WaitReason::HasHold);
-            }
-            None => self.wait(index, WaitReason::NoRoom),
+        if let Some((time, places)) = found {
+            self.profile.take(&places, step.demand, time, step.run_time);
         }
+        self.wait(index, rest.tasks, WaitReason::Planned, starts_in);
     }
 
     /// Returns how near the tasks can be to each other and to their data on empty workers; `None` when
     /// they do not fit at all.
-    fn locality(&self, unit: &WaitingUnit) -> Option<Locality> {
+    fn locality(&self, step: &WaitingStep, rest: &Rest) -> Option<Locality> {
         let empty: Room = self
             .snapshot
             .workers
             .iter()
             .map(|worker| worker.capacity)
             .collect();
-        [Locality::Near, Locality::Any]
-            .into_iter()
-            .find(|locality| place(self.snapshot, unit, &empty, *locality).is_some())
+        let fits = |locality: &Locality| {
+            let places = place(
+                self.snapshot,
+                step,
+                &empty,
+                &rest.allowance,
+                rest.tasks,
+                *locality,
+            );
+            !places.is_empty()
+        };
+        [Locality::Near, Locality::Any].into_iter().find(fits)
     }
 
-    /// Returns the room that is free now and not promised to a hold.
-    fn unpromised(&self) -> Room {
-        usable(&self.free, &self.holds, Duration::MAX)
+    /// Starts what fits now without delaying a more urgent step.
+    fn start(&mut self, index: usize, rest: &mut Rest, locality: Locality) {
+        let step = &self.snapshot.waiting[index];
+        let room = self.profile.room(Duration::ZERO, step.run_time);
+        let places = place(
+            self.snapshot,
+            step,
+            &room,
+            &rest.allowance,
+            rest.tasks,
+            locality,
+        );
+        self.start_at(index, rest, &places, step.run_time);
     }
 
-    fn start(&mut self, index: usize, places: Vec<usize>) {
-        let unit = &self.snapshot.waiting[index];
-        take(&mut self.free, unit, &places);
-        take_from_holds(&mut self.holds, unit, &places);
+    fn start_at(&mut self, index: usize, rest: &mut Rest, places: &[usize], length: Duration) {
+        if places.is_empty() {
+            return;
+        }
+        let step = &self.snapshot.waiting[index];
+        self.profile
+            .take(places, step.demand, Duration::ZERO, length);
+        let first = step.tasks.len() - rest.tasks as usize;
+        let seats = step.tasks[first..]
+            .iter()
+            .copied()
+            .zip(places.iter().copied());
         self.plan.starts.push(Start {
             waiting: index,
-            workers: places,
+            seats: seats.collect(),
         });
+        rest.take(places);
     }
 
-    fn wait(&mut self, index: usize, reason: WaitReason) {
-        self.plan.waits.push(Waiting {
-            waiting: index,
-            reason,
-        });
+    /// Finds the earliest time at which the rest of a step, or a part of it that may start alone, fits.
+    fn earliest(
+        &self,
+        step: &WaitingStep,
+        rest: &Rest,
+        locality: Locality,
+    ) -> Option<(Duration, Vec<usize>)> {
+        self.profile.times()[1..].iter().find_map(|time| {
+            let room = self.profile.room(*time, step.run_time);
+            let places = place(
+                self.snapshot,
+                step,
+                &room,
+                &rest.allowance,
+                rest.tasks,
+                locality,
+            );
+            (!places.is_empty()).then_some((*time, places))
+        })
     }
 
-    /// Returns whether others give way to a unit that is expected to start in `expected`.
-    fn may_preempt(&self, unit: &WaitingUnit, expected: Duration) -> bool {
-        if unit.is_guaranteed {
-            return expected > RECLAIM_PATIENCE.saturating_sub(unit.waited).max(STOPPING);
+    /// Has others give way if the step must not wait; returns whether it did.
+    fn preempt(
+        &mut self,
+        index: usize,
+        rest: &mut Rest,
+        locality: Locality,
+        starts_in: Option<Duration>,
+    ) -> bool {
+        let step = &self.snapshot.waiting[index];
+        if !may_preempt(step, starts_in.unwrap_or(Duration::MAX)) {
+            return false;
         }
-        // Beyond a guarantee only the most urgent work displaces others, when it would be late otherwise
-        // and is in time with it.
-        unit.priority == 0 && expected > unit.slack() && unit.slack() > STOPPING
-    }
-
-    /// Stops runs so that the unit fits, and keeps the room for it.
-    fn preempt(&mut self, index: usize, locality: Locality) -> Option<Hold> {
-        let unit = &self.snapshot.waiting[index];
-        let mut room = self.unpromised();
-        for running in &self.snapshot.running {
-            if running.is_ending {
-                for (worker, size) in &running.seats {
-                    room[*worker] = room[*worker].plus(*size);
-                }
-            }
+        let mut room = self.profile.room(STOPPING, step.run_time);
+        let search = Search {
+            snapshot: self.snapshot,
+            step,
+            allowance: &rest.allowance,
+            tasks: rest.tasks,
+            locality,
+            taken: &self.taken,
+        };
+        let Some(victims) = search.run(&room) else {
+            return false;
+        };
+        if !step.is_guaranteed && victims.loss_core_s > work_core_s(step) * MAX_LOSS_FACTOR {
+            return false;
         }
-        let chosen: Vec<usize> = self
-            .plan
-            .preemptions
-            .iter()
-            .map(|preemption| preemption.running)
-            .collect();
-        let (victims, _) = victims(self.snapshot, unit, &room, locality)?;
-        for victim in victims {
-            for (worker, size) in &self.snapshot.running[victim].seats {
+        for victim in victims.running {
+            let running = &self.snapshot.running[victim];
+            self.profile
+                .give(&running.seats, STOPPING, running.ends_in());
+            for (worker, size) in &running.seats {
                 room[*worker] = room[*worker].plus(*size);
             }
-            if !chosen.contains(&victim) {
-                self.plan.preemptions.push(Preemption {
-                    running: victim,
-                    beneficiary: index,
-                });
-            }
+            self.taken.insert(victim);
+            self.plan.preemptions.push(Preemption {
+                running: victim,
+                beneficiary: index,
+            });
         }
-        let places = place(self.snapshot, unit, &room, locality)?;
-        take(&mut room, unit, &places);
-        Some(Hold {
-            due_in: STOPPING,
-            spare: room,
-        })
+        let places = place(
+            self.snapshot,
+            step,
+            &room,
+            &rest.allowance,
+            rest.tasks,
+            locality,
+        );
+        self.profile
+            .take(&places, step.demand, STOPPING, step.run_time);
+        self.wait(index, rest.tasks, WaitReason::Planned, Some(STOPPING));
+        true
     }
 
-    /// Returns a place that spreads the tasks over racks, when waiting for a near one takes longer.
-    fn spread(
-        &self,
-        unit: &WaitingUnit,
-        locality: Locality,
-        expected: Duration,
-    ) -> Option<Vec<usize>> {
-        if locality == Locality::Any {
-            return None;
+    /// Starts the tasks spread over racks if that is faster than waiting for a near place; returns whether
+    /// it did.
+    fn spread(&mut self, index: usize, rest: &mut Rest, starts_in: Option<Duration>) -> bool {
+        let step = &self.snapshot.waiting[index];
+        let spread_time = step.run_time.mul_f64(self.snapshot.spread_factor);
+        let near_end = starts_in
+            .unwrap_or(Duration::MAX)
+            .saturating_add(step.run_time);
+        if spread_time >= near_end {
+            return false;
         }
-        let spread_time = unit.run_time.mul_f64(self.snapshot.spread_factor);
-        let near_end = expected.saturating_add(unit.run_time);
-        if spread_time >= near_end || counts(self.snapshot, unit, &self.free).is_empty() {
-            return None;
+        let room = self.profile.room(Duration::ZERO, spread_time);
+        let places = place(
+            self.snapshot,
+            step,
+            &room,
+            &rest.allowance,
+            rest.tasks,
+            Locality::Any,
+        );
+        if places.len() < rest.tasks as usize {
+            return false;
         }
-        let room = usable(&self.free, &self.holds, spread_time);
-        place(self.snapshot, unit, &room, Locality::Any)
+        self.start_at(index, rest, &places, spread_time);
+        true
     }
+
+    fn wait(&mut self, index: usize, tasks: u32, reason: WaitReason, starts_in: Option<Duration>) {
+        self.plan.waits.push(Waiting {
+            waiting: index,
+            tasks,
+            reason,
+            starts_in,
+        });
+    }
+}
+
+impl Rest {
+    fn take(&mut self, places: &[usize]) {
+        self.tasks -= u32::try_from(places.len()).unwrap_or(u32::MAX);
+        for worker in places {
+            self.allowance[*worker] = self.allowance[*worker].saturating_sub(1);
+        }
+    }
+}
+
+/// Returns whether others give way to a step that would start in `starts_in` otherwise.
+fn may_preempt(step: &WaitingStep, starts_in: Duration) -> bool {
+    if step.is_guaranteed {
+        return starts_in > RECLAIM_PATIENCE.saturating_sub(step.waited).max(STOPPING);
+    }
+    // Beyond a guarantee only the most urgent work displaces others, when it would be late otherwise and
+    // is in time with it.
+    step.priority == 0 && starts_in > step.slack() && step.slack() > STOPPING
+}
+
+/// Returns the work of the tasks that wait, in core-seconds.
+fn work_core_s(step: &WaitingStep) -> f64 {
+    let cores = step.demand.milli_cores / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
+    #[expect(clippy::cast_precision_loss, reason = "cores of a step")]
+    let cores = (cores * u64::from(step.count())) as f64;
+    cores * step.run_time.as_secs_f64()
 }
--- a/crates/placement/src/rank.rs
+++ b/crates/placement/src/rank.rs
@@ -1,8 +1,9 @@
-//! Order in which waiting units are looked at.
+//! Order in which waiting steps are looked at.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
-use crate::WaitingUnit;
+use crate::WaitingStep;
 
 /// Position in the order; smaller comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -11,17 +12,17 @@
     is_borrower: bool,
     priority: u32,
     slack: Duration,
-    waited: std::cmp::Reverse<Duration>,
+    waited: Reverse<Duration>,
 }
 
-/// Returns the rank of a unit: guaranteed work first, then by priority, then by how soon it would be late.
-pub(crate) fn rank(unit: &WaitingUnit) -> Rank {
+/// Returns the rank of a step: guaranteed work first, then by priority, then by how soon it would be late.
+pub(crate) fn rank(step: &WaitingStep) -> Rank {
     Rank {
         // Work that can no longer be of use to its submitter goes last.
-        is_hopeless: unit.worthless_in < unit.run_time && !unit.is_guaranteed,
-        is_borrower: !unit.is_guaranteed,
-        priority: unit.priority,
-        slack: unit.slack(),
-        waited: std::cmp::Reverse(unit.waited),
+        is_hopeless: step.worthless_in < step.run_time && !step.is_guaranteed,
+        is_borrower: !step.is_guaranteed,
+        priority: step.priority,
+        slack: step.slack(),
+        waited: Reverse(step.waited),
     }
 }
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -3,13 +3,19 @@
 use std::time::Duration;
 
 use nutmegwalk_base::DataCentreId;
+use nutmegwalk_base::JobId;
 use nutmegwalk_base::RackId;
 use nutmegwalk_base::ServiceId;
+use nutmegwalk_workload::Occurrence;
 use nutmegwalk_workload::Priority;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::Run;
+use nutmegwalk_workload::StepIndex;
+use nutmegwalk_workload::TaskIndex;
 use nutmegwalk_workload::UnitId;
 
+use crate::profile::STOPPING;
+
 /// A worker at the moment of the decision. Workers are named by their position in [`Snapshot::workers`].
 #[derive(Clone, Debug)]
 pub struct WorkerView {
@@ -41,15 +47,21 @@
     }
 }
 
-/// A unit that waits for a place.
+/// Tasks of one step that wait for a place.
 #[derive(Clone, Debug)]
-pub struct WaitingUnit {
-    /// The unit.
-    pub unit: UnitId,
-    /// Service whose workers may run it.
+pub struct WaitingStep {
+    /// The job.
+    pub job: JobId,
+    /// The recurrence.
+    pub occurrence: Occurrence,
+    /// The step.
+    pub step: StepIndex,
+    /// The tasks that wait; all of them for a gang.
+    pub tasks: Vec<TaskIndex>,
+    /// Whether the tasks start together or not at all.
+    pub is_gang: bool,
+    /// Service whose workers may run them.
     pub service: ServiceId,
-    /// Number of its tasks.
-    pub tasks: u32,
     /// What one task takes.
     pub demand: Resources,
     /// Urgency; 0 comes first.
@@ -64,30 +76,36 @@
     pub required_label: Option<Box<str>>,
     /// Largest number of tasks of the step on one worker.
     pub max_tasks_per_worker: Option<u32>,
-    /// Tasks of the step that are already on workers.
+    /// Workers of the tasks of the step that are started already, with their number.
     pub step_tasks: Vec<(usize, u32)>,
     /// Workers that must not be used.
     pub excluded: Vec<usize>,
     /// The only workers that may be used, if the queue's policy restricts them.
     pub allowed: Option<Vec<usize>>,
-    /// Time that the run is expected to take on a sound worker.
+    /// Time that a task is expected to take on a sound worker.
     pub run_time: Duration,
-    /// Time for which the unit has been ready to start.
+    /// Time for which the first of the tasks has been ready to start.
     pub waited: Duration,
     /// Time until the job should complete; zero when it is over.
     pub due_in: Duration,
-    /// Time by which the rest of the job lasts longer than this unit.
+    /// Time that the rest of the job takes after this step.
     pub after_it: Duration,
     /// Time until the job is worth nothing to its submitter.
     pub worthless_in: Duration,
 }
 
-impl WaitingUnit {
+impl WaitingStep {
     /// Returns how long the start can wait until the job is late.
     #[must_use]
     pub fn slack(&self) -> Duration {
         self.due_in.saturating_sub(self.run_time + self.after_it)
     }
+
+    /// Returns the number of tasks that wait.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+    }
 }
 
 /// A run that is on workers or may be there.
@@ -115,46 +133,58 @@
     pub slack: Duration,
 }
 
+impl RunningUnit {
+    /// Returns the time after which its room is expected to be free.
+    #[must_use]
+    pub fn ends_in(&self) -> Duration {
+        if self.is_ending {
+            STOPPING
+        } else {
+            self.remaining
+        }
+    }
+}
+
 /// Everything that a decision looks at.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
     /// Workers.
     pub workers: Vec<WorkerView>,
-    /// Units that wait for a place.
-    pub waiting: Vec<WaitingUnit>,
+    /// Steps with tasks that wait for a place.
+    pub waiting: Vec<WaitingStep>,
     /// Runs that are on workers or may be there.
     pub running: Vec<RunningUnit>,
     /// How many times as long rack-sensitive tasks take when they are spread.
     pub spread_factor: f64,
 }
 
-/// A unit that starts now.
+/// Tasks of a step that start now.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Start {
     /// Position in [`Snapshot::waiting`].
     pub waiting: usize,
-    /// Worker of each task.
-    pub workers: Vec<usize>,
+    /// Tasks with their workers; all tasks for a gang.
+    pub seats: Vec<(TaskIndex, usize)>,
 }
 
-/// A run that is stopped so that another unit can start.
+/// A run that is stopped so that others can start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Preemption {
     /// Position in [`Snapshot::running`].
     pub running: usize,
-    /// Position in [`Snapshot::waiting`] of the unit that needs the room.
+    /// Position in [`Snapshot::waiting`] of the step that needs the room.
     pub beneficiary: usize,
 }
 
-/// Why a unit does not start now.
+/// Why tasks do not start now.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum WaitReason {
-    /// It would not fit on the workers that may run it even if they were empty.
+    /// They would not fit on the workers that may run them even if these were empty.
     NeverFits,
-    /// It has a place, and waits until running tasks have ended or were stopped.
-    HasHold,
-    /// There is no room.
-    NoRoom,
+    /// They have a place later, when running tasks have ended or were stopped.
+    Planned,
+    /// No place was looked for, since many more urgent steps wait.
+    Behind,
 }
 
 impl WaitReason {
@@ -163,28 +193,32 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NeverFits => "never_fits",
-            Self::HasHold => "has_hold",
-            Self::NoRoom => "no_room",
+            Self::Planned => "planned",
+            Self::Behind => "behind",
         }
     }
 }
 
-/// A unit that does not start now.
+/// Tasks of a step that do not start now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Waiting {
     /// Position in [`Snapshot::waiting`].
     pub waiting: usize,
-    /// Why it waits.
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Why they wait.
     pub reason: WaitReason,
+    /// Time until they are expected to start, if a place was found.
+    pub starts_in: Option<Duration>,
 }
 
 /// What is to be done.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Plan {
-    /// Units that start now.
+    /// Tasks that start now.
     pub starts: Vec<Start>,
     /// Runs that give way.
     pub preemptions: Vec<Preemption>,
-    /// Units that do not start now.
+    /// Tasks that do not start now.
     pub waits: Vec<Waiting>,
 }
--- /dev/null
+++ b/crates/placement/tests/common/mod.rs
@@ -0,0 +1,112 @@
+//! Small scenes for decisions: equal workers in racks, with 8 accelerators each.
+
+use std::time::Duration;
+
+use nutmegwalk_placement::RunningUnit;
+use nutmegwalk_placement::Snapshot;
+use nutmegwalk_placement::WaitingStep;
+use nutmegwalk_placement::WorkerView;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::UnitId;
+
+/// A snapshot in the making.
+pub(crate) struct Scene {
+    pub(crate) snapshot: Snapshot,
+}
+
+impl Scene {
+    /// Creates `racks` racks of `workers` idle workers each.
+    pub(crate) fn new(racks: usize, workers: usize) -> Self {
+        let worker = |rack: usize| WorkerView {
+            service: "plank-desk".into(),
+            data_centre: "ventspils".into(),
+            rack: Some(format!("r-{rack}").into()),
+            labels: vec!["a".into()],
+            capacity: Resources::new(128_000, 262_144, 8),
+            booked: Resources::default(),
+            is_open: true,
+            slowness: 1.0,
+            leaves_in: None,
+        };
+        let all = (0..racks).flat_map(|rack| (0..workers).map(move |_| worker(rack)));
+        Self {
+            snapshot: Snapshot {
+                workers: all.collect(),
+                waiting: Vec::new(),
+                running: Vec::new(),
+                spread_factor: 3.0,
+            },
+        }
+    }
+
+    /// Returns the size of a task with `accelerators`.
+    pub(crate) fn size(&self, accelerators: u64) -> Resources {
+        size(accelerators)
+    }
+
+    /// Adds tasks that wait.
+    pub(crate) fn wait(&mut self, step: WaitingStep) {
+        self.snapshot.waiting.push(step);
+    }
+
+    /// Adds a task that runs on worker 0.
+    pub(crate) fn run(
+        &mut self,
+        job: &str,
+        accelerators: u64,
+        priority: u32,
+        remaining: Duration,
+    ) -> &mut RunningUnit {
+        let booked = &mut self.snapshot.workers[0].booked;
+        *booked = booked.plus(size(accelerators));
+        self.snapshot.running.push(RunningUnit {
+            unit: UnitId {
+                job: job.into(),
+                occurrence: 0,
+                step: 0,
+                task: Some(0),
+            },
+            run: 1,
+            seats: vec![(0, size(accelerators))],
+            priority,
+            is_guaranteed: false,
+            is_ending: false,
+            may_give_way: true,
+            loss_core_s: 1.0,
+            remaining,
+            slack: Duration::from_secs(60),
+        });
+        self.snapshot.running.last_mut().expect("one was added")
+    }
+}
+
+fn size(accelerators: u64) -> Resources {
+    Resources::new(1_000 * accelerators, 1_024 * accelerators, accelerators)
+}
+
+/// Returns `tasks` equal tasks that wait, each with `accelerators`, of a job in the middle of everything.
+pub(crate) fn step(job: &str, tasks: u32, accelerators: u64) -> WaitingStep {
+    WaitingStep {
+        job: job.into(),
+        occurrence: 0,
+        step: 0,
+        tasks: (0..tasks).collect(),
+        is_gang: false,
+        service: "plank-desk".into(),
+        demand: size(accelerators),
+        priority: 1,
+        is_guaranteed: false,
+        is_rack_sensitive: false,
+        data_rack: None,
+        required_label: None,
+        max_tasks_per_worker: None,
+        step_tasks: Vec::new(),
+        excluded: Vec::new(),
+        allowed: None,
+        run_time: Duration::from_secs(5),
+        waited: Duration::ZERO,
+        due_in: Duration::from_secs(6),
+        after_it: Duration::ZERO,
+        worthless_in: Duration::from_secs(60),
+    }
+}
--- a/crates/workload/src/spec.rs
+++ b/crates/workload/src/spec.rs
@@ -77,6 +77,16 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            accelerators: self.accelerators.min(other.accelerators),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            milli_cores: self.milli_cores.min(other.milli_cores),
+        }
+    }
+
     /// Returns how many tasks of this size fit into `room`.
     #[must_use]
     pub fn count_in(self, room: Self) -> u64 {
