--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -87,7 +87,6 @@
     sequence: Cell<u64>,
     /// When an owner last answered a report.
     answered_at: Cell<Option<Instant>>,
-    started_at: Instant,
     is_standby: Cell<bool>,
     contending: RefCell<Option<JoinHandle<()>>>,
     drain: Drain,
@@ -138,7 +137,6 @@
                 locator,
                 sequence: Cell::new(0),
                 answered_at: Cell::new(None),
-                started_at: clock::now(),
                 is_standby: Cell::new(false),
                 contending: RefCell::new(None),
                 drain: Drain::new(),
@@ -281,11 +279,8 @@
     fn should_contend(&self) -> bool {
         let is_cut_off = match self.answered_at.get() {
             Some(at) => clock::now().saturating_duration_since(at) > CONTEND_AFTER,
-            // At the start of the whole deployment there is no owner to hear from.
-            None => {
-                self.locator.address().is_none()
-                    || clock::now().saturating_duration_since(self.started_at) > CONTEND_AFTER
-            }
+            // The owner in the row may have died with this process's predecessor.
+            None => true,
         };
         self.is_standby.get() || self.owner.is_serving() || is_cut_off
     }
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -28,8 +28,8 @@
 
 /// Time for one message; the agent repeats an unanswered order for up to 800 ms.
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Pause after a message that was not answered.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after a message that was not answered, or a stop that the worker did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Interval at which the orders of a worker are looked through without a signal.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -77,7 +77,8 @@
                 known.told_acknowledged = known.told_acknowledged.max(orders.acknowledged);
                 drop(state);
                 self.take_in_results(worker, &answer);
-                true
+                let is_unknown = |result: &StartResult| result.outcome == TaskOutcome::Unknown;
+                !answer.stops.iter().any(is_unknown)
             }
             Err(error) => {
                 let is_first = known.unreachable_since.is_none();
@@ -184,9 +185,7 @@
                     "the worker did not answer a start, stopping the run"
                 );
                 self.note_failure(worker);
-                self.with_run(&result.run, |run| {
-                    run.stop();
-                });
+                self.stop_task(&result.run);
             }
         }
     }
@@ -225,6 +224,18 @@
         }
     }
 
+    /// Stops the run that a task belongs to.
+    fn stop_task(&self, run: &TaskRun) {
+        let unit = {
+            let state = self.state.borrow();
+            let job = state.jobs.get(&run.task.job);
+            job.and_then(|job| job.record.spec.unit_of(&run.task))
+        };
+        if let Some(unit) = unit {
+            self.stop_run(&unit, run.run);
+        }
+    }
+
     fn with_run(&self, run: &TaskRun, change: impl FnOnce(&mut crate::job::LiveRun)) {
         let mut state = self.state.borrow_mut();
         let Some(job) = state.jobs.get_mut(&run.task.job) else {
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -156,6 +156,8 @@
     pub(crate) runs: Vec<LiveRun>,
     /// When the unit became ready to start.
     pub(crate) ready_since: Option<Instant>,
+    /// When its work was done.
+    pub(crate) done_at: Option<Instant>,
     /// Workers on which it has failed.
     pub(crate) failed_on: Vec<WorkerRef>,
 }
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -19,7 +19,6 @@
 use crate::worker::Worker;
 use nutmegwalk_base::CustomerId;
 use nutmegwalk_base::JobId;
-use nutmegwalk_base::WorkerId;
 use nutmegwalk_base::clock;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
@@ -105,13 +104,55 @@
         for worker in self.dead_workers(now) {
             self.lose_worker(&worker, "nothing was heard for longer than its lease lasts");
         }
+        for (unit, run) in self.late_runs(now) {
+            warn!(unit:% = unit, run = run; "the run did not start in time on all workers, stopping it");
+            self.stop_run(&unit, run);
+        }
+        self.repeat_stops(now);
+    }
+
+    /// Returns the runs that did not start in time on all their workers.
+    fn late_runs(&self, now: Instant) -> Vec<(UnitId, Run)> {
+        let state = self.state.borrow();
+        let mut late = Vec::new();
+        for job in state.jobs.values() {
+            for (unit, live) in &job.units {
+                let is_late = |run: &&LiveRun| {
+                    !run.is_stopping()
+                        && run.seats.iter().any(|seat| {
+                            let age = now.saturating_duration_since(seat.since);
+                            seat.state == SeatState::Ordered && age > self.settings.start_within
+                        })
+                };
+                let runs = live.runs.iter().filter(is_late);
+                late.extend(runs.map(|run| (unit.clone(), run.run)));
+            }
+        }
+        late
+    }
+
+    /// Repeats stops that were taken and not followed by an end, and stops what outlasts its unit.
+    fn repeat_stops(&self, now: Instant) {
         let mut state = self.state.borrow_mut();
         let mut to_tell = Vec::new();
-        for (id, job) in &mut state.jobs {
-            for (unit, live) in &mut job.units {
-                let is_done = job.progress.state.is_final() || job.progress.is_unit_done(unit);
-                for run in &mut live.runs {
-                    self.look_after_run(id, run, is_done, now, &mut to_tell);
+        for job in state.jobs.values_mut() {
+            for live in job.units.values_mut() {
+                let lingers = live
+                    .done_at
+                    .is_some_and(|at| now.saturating_duration_since(at) > DONE_LINGER);
+                for seat in live.runs.iter_mut().flat_map(|run| &mut run.seats) {
+                    let is_repeat = matches!(
+                        seat.stop,
+                        StopState::Taken(at) if now.saturating_duration_since(at) > STOP_REPEAT
+                    );
+                    if seat.state != SeatState::Ended
+                        && (is_repeat || lingers && seat.stop == StopState::None)
+                    {
+                        seat.stop = StopState::Wanted;
+                    }
+                    if seat.stop == StopState::Wanted && seat.state != SeatState::Ended {
+                        to_tell.push(seat.worker.id.clone());
+                    }
                 }
             }
         }
@@ -120,43 +161,6 @@
         }
     }
 
-    fn look_after_run(
-        &self,
-        job: &JobId,
-        run: &mut LiveRun,
-        is_done: bool,
-        now: Instant,
-        to_tell: &mut Vec<WorkerId>,
-    ) {
-        let is_late = !run.is_stopping()
-            && run.seats.iter().any(|seat| {
-                seat.state == SeatState::Ordered
-                    && now.saturating_duration_since(seat.since) > self.settings.start_within
-            });
-        if is_late {
-            warn!(job = &**job, run = run.run; "the run did not start in time on all workers, stopping it");
-            run.stop();
-        }
-        for seat in &mut run.seats {
-            let is_repeat = matches!(
-                seat.stop,
-                StopState::Taken(at) if now.saturating_duration_since(at) > STOP_REPEAT
-            );
-            let lingers = is_done
-                && seat.stop == StopState::None
-                && seat.state == SeatState::Running
-                && run
-                    .whole_since
-                    .is_some_and(|since| now.saturating_duration_since(since) > DONE_LINGER);
-            if seat.state != SeatState::Ended && (is_repeat || lingers) {
-                seat.stop = StopState::Wanted;
-            }
-            if seat.stop == StopState::Wanted {
-                to_tell.push(seat.worker.id.clone());
-            }
-        }
-    }
-
     /// Returns the lives of workers that have runs and cannot be alive any more.
     fn dead_workers(&self, now: Instant) -> Vec<WorkerRef> {
         let state = self.state.borrow();
@@ -172,12 +176,6 @@
                         Some(worker) if worker.announcement.worker == seat.worker => {
                             worker.is_dead(now) && now > inherited_until
                         }
-                        Some(worker)
-                            if worker.announcement.worker.born_unix_ms
-                                > seat.worker.born_unix_ms =>
-                        {
-                            true
-                        }
                         _ => now > inherited_until,
                     };
                     if is_dead {
@@ -218,19 +216,7 @@
             beneficiary_guaranteed = beneficiary.is_guaranteed;
             "preempted"
         );
-        let mut state = self.state.borrow_mut();
-        let mut workers = Vec::new();
-        if let Some(job) = state.jobs.get_mut(&victim.unit.job)
-            && let Some(live) = job.units.get_mut(&victim.unit)
-        {
-            for run in live.runs.iter_mut().filter(|run| run.run == victim.run) {
-                run.stop();
-                workers.extend(run.seats.iter().map(|seat| seat.worker.id.clone()));
-            }
-        }
-        for worker in workers {
-            state.tell(&worker);
-        }
+        self.stop_run(&victim.unit, victim.run);
     }
 
     fn start(&self, snapshot: &Snapshot, start: &Start, lives: &[WorkerRef], now: Instant) {
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -1,6 +1,7 @@
 //! Taking in the agents' reports.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -83,22 +84,16 @@
     /// Notes the worker's life; runs of an earlier life on the same machine are lost.
     fn note_worker(self: &Rc<Self>, report: &Report, status: &WorkerStatus, now: Instant) {
         let worker = &status.announcement.worker;
-        let outdated: Vec<WorkerRef> = {
-            let state = self.state.borrow();
-            let lives = state.workers.values().filter(|known| {
-                let same_place =
-                    known.agent == report.agent || known.announcement.worker.id == worker.id;
-                same_place
-                    && known.announcement.worker != *worker
-                    && known.announcement.worker.born_unix_ms <= worker.born_unix_ms
-            });
-            lives
-                .map(|known| known.announcement.worker.clone())
-                .collect()
-        };
-        for life in outdated {
+        for life in self.superseded_lives(report, worker) {
             self.lose_worker(&life, "a later life of the worker is there");
-            self.state.borrow_mut().workers.remove(&life.id);
+            let mut state = self.state.borrow_mut();
+            if state
+                .workers
+                .get(&life.id)
+                .is_some_and(|known| known.announcement.worker == life)
+            {
+                state.workers.remove(&life.id);
+            }
         }
         let mut state = self.state.borrow_mut();
         if let Some(known) = state.workers.get(&worker.id)
@@ -151,6 +146,28 @@
         }
     }
 
+    /// Returns the lives that are over because `worker` is there: those that the same agent reported, and
+    /// those of the same machine or id that a predecessor gave runs to.
+    fn superseded_lives(&self, report: &Report, worker: &WorkerRef) -> Vec<WorkerRef> {
+        let state = self.state.borrow();
+        let known = state
+            .workers
+            .values()
+            .filter(|known| known.agent == report.agent)
+            .map(|known| &known.announcement.worker)
+            .filter(|known| known.born_unix_ms < worker.born_unix_ms);
+        let seated = state
+            .jobs
+            .values()
+            .flat_map(|job| job.units.values())
+            .flat_map(|unit| &unit.runs)
+            .flat_map(|run| &run.seats)
+            .map(|seat| &seat.worker)
+            .filter(|seated| seated.is_superseded_by(worker));
+        let lives: BTreeSet<&WorkerRef> = known.chain(seated).collect();
+        lives.into_iter().cloned().collect()
+    }
+
     /// Takes in the ends that are new.
     fn take_in_ends(self: &Rc<Self>, status: &WorkerStatus) {
         let worker = &status.announcement.worker;
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -36,6 +36,8 @@
 use nutmegwalk_workload::EndKind;
 use nutmegwalk_workload::JobState;
 use nutmegwalk_workload::QueuePolicy;
+use nutmegwalk_workload::Run;
+use nutmegwalk_workload::UnitId;
 use nutmegwalk_workload::WorkerRef;
 
 /// What the tasks of one term share.
@@ -118,7 +120,7 @@
     }
 
     /// Takes in the end of a run and returns the revision of the job that holds what follows from it;
-    /// `None` when nothing follows.
+    /// `None` when the job does not have the run.
     pub(crate) fn apply_end(
         &self,
         worker: &WorkerRef,
@@ -187,6 +189,7 @@
         }
         match effect {
             EndEffect::UnitDone => {
+                live.done_at = Some(now);
                 if let Some(run_time) = run_time {
                     state
                         .run_times
@@ -216,14 +219,33 @@
             state.to_tell.insert(worker.id);
         }
         let is_changed = state.settle(&job_id, &unit) || effect != EndEffect::Ignored;
-        if !is_changed {
-            return None;
-        }
         self.note_final(state, &job_id, now);
-        let revision = state.touch(&job_id);
+        if is_changed {
+            state.touch(&job_id);
+        }
+        // An end that changes nothing follows from one whose consequences may not be stored yet.
+        let revision = state.jobs.get(&job_id).map_or(0, |job| job.revision);
         Some((job_id, revision))
     }
 
+    /// Stops a run of a unit that goes on, for example because another unit needs its room.
+    pub(crate) fn stop_run(&self, unit: &UnitId, run: Run) {
+        let mut state = self.state.borrow_mut();
+        let mut workers = Vec::new();
+        if let Some(job) = state.jobs.get_mut(&unit.job)
+            && let Some(live) = job.units.get_mut(unit)
+        {
+            for live_run in live.runs.iter_mut().filter(|live_run| live_run.run == run) {
+                live_run.stop();
+                workers.extend(live_run.seats.iter().map(|seat| seat.worker.id.clone()));
+            }
+        }
+        state.to_tell.extend(workers);
+        if state.settle(&unit.job, unit) {
+            state.touch(&unit.job);
+        }
+    }
+
     /// Notes the end of a job.
     fn note_final(&self, state: &mut State, id: &JobId, now: Instant) {
         let Some(job) = state.jobs.get_mut(id) else {
@@ -313,7 +335,7 @@
     }
 
     /// Forgets the runs of a unit that are over; returns whether the job's progress has changed.
-    pub(crate) fn settle(&mut self, id: &JobId, unit: &nutmegwalk_workload::UnitId) -> bool {
+    pub(crate) fn settle(&mut self, id: &JobId, unit: &UnitId) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
@@ -346,7 +368,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let units: Vec<nutmegwalk_workload::UnitId> = job.units.keys().cloned().collect();
+        let units: Vec<UnitId> = job.units.keys().cloned().collect();
         for unit in units {
             self.settle(id, &unit);
         }
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -89,7 +89,11 @@
         }
         let running = Running(&inner.is_running);
         loop {
-            let step = inner.state.borrow_mut().step(clock::now());
+            let step = {
+                let mut state = inner.state.borrow_mut();
+                state.observe_clock(inner.store.clock());
+                state.step(clock::now())
+            };
             match step {
                 Step::Sleep(time) => {
                     // A release is noticed within one interval.
@@ -170,7 +174,9 @@
         let now = clock::now();
         match result.and_then(|rows| parse(&rows)) {
             Ok((row, epoch_row_version)) => {
-                self.state.borrow_mut().observe(row, epoch_row_version, now);
+                let mut state = self.state.borrow_mut();
+                state.observe_clock(self.store.clock());
+                state.observe(row, epoch_row_version, now);
             }
             Err(error) => {
                 warn!("cannot read the lease of {}: {error}", self.duty);
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -20,6 +20,9 @@
     pub renewal: u64,
     /// Incarnation of the holder, which tells a restarted process from its predecessor.
     pub incarnation: Incarnation,
+    /// A reading of the store's clock that had passed when the renewal was sent, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub renewed_at_ms: Option<u64>,
 }
 
 impl OwnerRow {
--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -13,6 +13,7 @@
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::Result;
 use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::StoreClock;
 use nutmegwalk_store::Transaction;
 use nutmegwalk_store::TransactionOutcome;
 
@@ -69,6 +70,8 @@
     since: Instant,
     /// When this content was last seen.
     until: Instant,
+    /// The store's clock when this content was last seen, in milliseconds.
+    store_now_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -106,6 +109,7 @@
     pending: Option<Pending>,
     last_renewal: u64,
     releasing: bool,
+    store_clock: Option<StoreClock>,
 }
 
 impl LeaseState {
@@ -129,6 +133,7 @@
             pending: None,
             last_renewal: 0,
             releasing: false,
+            store_clock: None,
         }
     }
 
@@ -192,10 +197,7 @@
         if now.saturating_duration_since(seen.until) > self.longest_gap() {
             return Step::Read;
         }
-        let free_at = match &seen.row {
-            Some(row) if !row.is_released() => seen.since + self.timing.lease + self.timing.margin,
-            _ => seen.until,
-        };
+        let free_at = self.free_at(&seen);
         let read_at = seen.until + self.timing.poll_every;
         if now >= free_at {
             self.write(Change::TakeOver, &seen, now)
@@ -206,6 +208,14 @@
         }
     }
 
+    /// Takes in the store's clock as the last answer showed it.
+    ///
+    /// With it a contender need not watch the row for the length of the lease: the row says when it was
+    /// renewed.
+    pub fn observe_clock(&mut self, clock: Option<StoreClock>) {
+        self.store_clock = clock;
+    }
+
     /// Takes in the rows that a read returned; `now` is an instant after the answer arrived.
     ///
     /// A lease is counted by its contenders from when they saw a renewal, which is later than when its
@@ -235,6 +245,7 @@
             }
         }
         let longest_gap = self.longest_gap();
+        let store_now_ms = self.store_clock.map(|clock| clock.now_ms);
         match &mut self.seen {
             Some(seen)
                 if seen.row == row
@@ -242,6 +253,7 @@
                     && now.saturating_duration_since(seen.until) <= longest_gap =>
             {
                 seen.until = now;
+                seen.store_now_ms = store_now_ms;
             }
             seen => {
                 *seen = Some(Seen {
@@ -249,6 +261,7 @@
                     version,
                     since: now,
                     until: now,
+                    store_now_ms,
                 });
             }
         }
@@ -272,6 +285,27 @@
         }
     }
 
+    /// Returns when the lease can be taken over, as far as `seen` tells.
+    fn free_at(&self, seen: &Seen) -> Instant {
+        let row = match &seen.row {
+            Some(row) if !row.is_released() => row,
+            _ => return seen.until,
+        };
+        if row.holder == self.holder && row.incarnation != self.incarnation {
+            // The predecessor of this process on the same host is dead.
+            return seen.until;
+        }
+        let length = self.timing.lease + self.timing.margin;
+        let watched = seen.since + length;
+        match (row.renewed_at_ms, seen.store_now_ms) {
+            (Some(renewed_ms), Some(now_ms)) => {
+                let age = Duration::from_millis(now_ms.saturating_sub(renewed_ms));
+                watched.min(seen.until + length.saturating_sub(age))
+            }
+            _ => watched,
+        }
+    }
+
     /// Sightings of the row further apart than this do not count as one. It lets a holder renew first
     /// after an outage of the store.
     fn longest_gap(&self) -> Duration {
@@ -315,6 +349,7 @@
             address: self.address.clone(),
             renewal: self.last_renewal,
             incarnation: self.incarnation,
+            renewed_at_ms: self.store_clock.map(|clock| clock.at_least_ms(now)),
         };
         let value = match serde_json::to_string(&row) {
             Ok(value) => value,
@@ -369,6 +404,7 @@
             version,
             since: now,
             until: now,
+            store_now_ms: self.store_clock.map(|clock| clock.now_ms),
         });
     }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -17,6 +17,7 @@
 use crate::MAX_TRANSACTION_WRITES;
 use crate::ObjectStore;
 use crate::Row;
+use crate::StoreClock;
 use crate::TableStore;
 use crate::Transaction;
 use crate::TransactionOutcome;
@@ -229,6 +230,12 @@
             .await
     }
 
+    /// Returns the store's clock as the last answer showed it; `None` for a store that shows none.
+    #[must_use]
+    pub fn clock(&self) -> Option<StoreClock> {
+        self.inner.table.clock()
+    }
+
     /// Returns the reads and writes sent so far, by duty.
     #[must_use]
     pub fn counters(&self) -> Counters {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -40,6 +40,7 @@
 pub use table::ObjectStore;
 pub use table::Row;
 pub use table::RowVersion;
+pub use table::StoreClock;
 pub use table::TableStore;
 pub use table::Transaction;
 pub use table::TransactionOutcome;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -1,5 +1,7 @@
 //! The platform's table service and object store, as this system sees them.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use serde::Deserialize;
@@ -127,6 +129,24 @@
     },
 }
 
+/// The store's steady clock as it was seen last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreClock {
+    /// Reading of the clock, in milliseconds.
+    pub now_ms: u64,
+    /// An instant after that reading.
+    pub seen_at: Instant,
+}
+
+impl StoreClock {
+    /// Returns a reading that the clock has passed at `now`, in milliseconds.
+    #[must_use]
+    pub fn at_least_ms(&self, now: Instant) -> u64 {
+        let since = now.saturating_duration_since(self.seen_at).as_millis();
+        self.now_ms + u64::try_from(since).unwrap_or(0)
+    }
+}
+
 /// The transactional table service.
 ///
 /// Errors are `store_unavailable` when nothing was written and `store_unknown` when a write may have
@@ -148,6 +168,11 @@
         after: &'a str,
         limit: usize,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>>>;
+
+    /// Returns the store's clock as the last answer showed it; `None` for a store that shows none.
+    fn clock(&self) -> Option<StoreClock> {
+        None
+    }
 }
 
 /// The object store. Objects are immutable once written.
--- a/crates/supervisor/src/lease.rs
+++ b/crates/supervisor/src/lease.rs
@@ -54,8 +54,14 @@
         self.clock_ms + as_ms(until_horizon.min(since_answer + max_lease))
     }
 
-    /// Notes that a request with this end of the lease is sent.
-    pub fn renewing(&mut self, lease_until_clock_ms: u64) {
+    /// Returns how long ago the worker answered.
+    #[must_use]
+    pub fn silent_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.answered_at)
+    }
+
+    /// Notes that a request with this end of the lease may have reached the worker.
+    pub fn renewed(&mut self, lease_until_clock_ms: u64) {
         self.lease_until_clock_ms = self.lease_until_clock_ms.max(lease_until_clock_ms);
     }
 
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -18,6 +18,7 @@
 use crate::TaskRun;
 use crate::WorkerState;
 use crate::supervisor::Inner;
+use crate::supervisor::bounded;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
@@ -50,7 +51,7 @@
             let request = inner
                 .port
                 .pace(&orders.worker, &pace.run, pace.percent, orders.epoch);
-            if let Err(error) = bounded(request).await {
+            if let Err(error) = bounded(ORDER_TIMEOUT, request).await {
                 warn!(task:% = pace.run.task, percent = pace.percent; "cannot set the pace: {error}");
             }
         }
@@ -95,7 +96,10 @@
                     break;
                 }
             };
-            match bounded(self.port.start(&request)).await {
+            let answer = bounded(ORDER_TIMEOUT, self.port.start(&request)).await;
+            let until_ms = request.lease_until_clock_ms;
+            self.note_renewal(&orders.worker, until_ms, answer.as_ref().err());
+            match answer {
                 Ok(answer) => {
                     outcome = match answer.refusal {
                         None => {
@@ -129,7 +133,7 @@
         order: &StartOrder,
         run: &TaskRun,
     ) -> Result<StartRequest, Refusal> {
-        let mut state = self.state.borrow_mut();
+        let state = self.state.borrow();
         if state.epoch > orders.epoch {
             return Err(Refusal::StaleEpoch);
         }
@@ -145,11 +149,6 @@
         let Some(lease_until_clock_ms) = state.lease_until_ms(worker, &self.timings) else {
             return Err(Refusal::LeasePassed);
         };
-        if let Some(worker) = &mut state.worker
-            && let Some(clock) = &mut worker.clock
-        {
-            clock.renewing(lease_until_clock_ms);
-        }
         Ok(StartRequest {
             worker: orders.worker.clone(),
             run: run.clone(),
@@ -188,7 +187,12 @@
     async fn stop(&self, orders: &Orders, run: &TaskRun) -> StartResult {
         let mut outcome = TaskOutcome::Unknown;
         for _ in 0..ORDER_TRIES {
-            match bounded(self.port.stop(&orders.worker, run, orders.epoch)).await {
+            match bounded(
+                ORDER_TIMEOUT,
+                self.port.stop(&orders.worker, run, orders.epoch),
+            )
+            .await
+            {
                 Ok(()) => {
                     outcome = self.after_stop(&orders.worker, run).await;
                     break;
@@ -243,13 +247,3 @@
         }
     }
 }
-
-async fn bounded<T>(request: impl Future<Output = Result<T>>) -> Result<T> {
-    match compio::time::timeout(ORDER_TIMEOUT, request).await {
-        Ok(result) => result,
-        Err(_) => {
-            let detail = format!("no answer in {ORDER_TIMEOUT:?}");
-            Err(Error::new(ErrorKind::UnknownOutcome, detail))
-        }
-    }
-}
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -21,6 +21,7 @@
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::signal::Signal;
@@ -42,6 +43,8 @@
     pub answer_timeout: Duration,
     /// Pause after a failed look.
     pub retry_pause: Duration,
+    /// Time without an answer after which the lease is not renewed until the worker answers again.
+    pub mute_after: Duration,
 }
 
 impl Default for SupervisorTimings {
@@ -53,6 +56,7 @@
             unacknowledged_wait: Duration::from_millis(300),
             answer_timeout: Duration::from_millis(400),
             retry_pause: Duration::from_millis(200),
+            mute_after: Duration::from_millis(3_500),
         }
     }
 }
@@ -353,21 +357,25 @@
 
     /// Looks at the worker once.
     pub(crate) async fn hold(&self, request: &HoldRequest) -> Result<()> {
-        if let Some(until_ms) = request.lease_until_clock_ms
-            && let Some(worker) = &mut self.state.borrow_mut().worker
+        let limit = request.wait + self.timings.answer_timeout;
+        let answer = bounded(limit, self.port.hold(request)).await;
+        if let Some(until_ms) = request.lease_until_clock_ms {
+            self.note_renewal(&request.worker, until_ms, answer.as_ref().err());
+        }
+        self.absorb(&request.worker, answer?)
+    }
+
+    /// Notes that the lease may have been renewed by a request, unless the request was not even sent.
+    pub(crate) fn note_renewal(&self, asked: &WorkerRef, until_ms: u64, error: Option<&Error>) {
+        if error.is_some_and(|error| error.outcome() == Outcome::NotRun) {
+            return;
+        }
+        if let Some(worker) = &mut self.state.borrow_mut().worker
+            && worker.worker() == asked
             && let Some(clock) = &mut worker.clock
         {
-            clock.renewing(until_ms);
+            clock.renewed(until_ms);
         }
-        let limit = request.wait + self.timings.answer_timeout;
-        let answer = match compio::time::timeout(limit, self.port.hold(request)).await {
-            Ok(answer) => answer?,
-            Err(_) => {
-                let detail = format!("no answer in {limit:?}");
-                return Err(Error::new(ErrorKind::UnknownOutcome, detail));
-            }
-        };
-        self.absorb(&request.worker, answer)
     }
 
     fn absorb(&self, asked: &WorkerRef, answer: HoldAnswer) -> Result<()> {
@@ -432,7 +440,23 @@
         let now = clock::now();
         let horizon = self.horizon.filter(|horizon| *horizon > now)?;
         let clock = worker.clock.as_ref()?;
-        Some(clock.lease_until_ms(now, horizon, timings.max_lease))
+        // A worker that does not answer is left to lapse, so that its tasks can be started elsewhere.
+        let is_mute = clock.silent_for(now) > timings.mute_after;
+        (!is_mute).then(|| clock.lease_until_ms(now, horizon, timings.max_lease))
+    }
+}
+
+/// Waits for an answer of the worker, at most for `limit`.
+pub(crate) async fn bounded<T>(
+    limit: Duration,
+    request: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    match compio::time::timeout(limit, request).await {
+        Ok(result) => result,
+        Err(_) => {
+            let detail = format!("no answer in {limit:?}");
+            Err(Error::new(ErrorKind::UnknownOutcome, detail))
+        }
     }
 }
 
--- a/crates/supervisor/src/worker.rs
+++ b/crates/supervisor/src/worker.rs
@@ -35,8 +35,6 @@
 pub struct Announcement {
     /// The worker.
     pub worker: WorkerRef,
-    /// Machine of which the worker is one life, if it names one.
-    pub machine: Option<Box<str>>,
     /// Service whose tasks it runs.
     pub service: ServiceId,
     /// Data centre that it stands in.
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -22,6 +22,20 @@
     pub id: WorkerId,
     /// Start of this life, in milliseconds since 1970.
     pub born_unix_ms: u64,
+    /// Machine of which the worker is one life, if it names one; a later life there means that this one
+    /// is over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub machine: Option<Box<str>>,
+}
+
+impl WorkerRef {
+    /// Returns whether `later` shows that this life is over.
+    #[must_use]
+    pub fn is_superseded_by(&self, later: &Self) -> bool {
+        let is_same =
+            self.id == later.id || self.machine.is_some() && self.machine == later.machine;
+        is_same && self.born_unix_ms < later.born_unix_ms
+    }
 }
 
 /// State of a job, as its submitter sees it.
