--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -39,19 +39,36 @@
 use nutmegwalk_supervisor::SupervisorTimings;
 use nutmegwalk_supervisor::WorkerPort;
 
-/// Interval of reports when nothing has changed.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time for an answer to a report: a trip between regions and back, and a busy owner.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Pause after a report that was not answered.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the agent looks whether it should contend for the ownership.
 const CONTEND_POLL: Duration = Duration::from_millis(100);
-/// Time without an owner's answer after which an agent contends although it does not stand by.
-const CONTEND_AFTER: Duration = Duration::from_millis(3_000);
 /// Time for a planned stop: the lease is given back, and answers in flight are sent.
 const STOP_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Lengths of time between an agent and the owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportTimings {
+    /// Interval of reports when nothing has changed.
+    pub interval: Duration,
+    /// Time for an answer: a trip between regions and back, and a busy owner.
+    pub timeout: Duration,
+    /// Pause after a report that was not answered.
+    pub retry_pause: Duration,
+    /// Time without an answer after which an agent contends for the ownership although it does not stand
+    /// by.
+    pub contend_after: Duration,
+}
+
+impl Default for ReportTimings {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(1_000),
+            timeout: Duration::from_millis(700),
+            retry_pause: Duration::from_millis(150),
+            contend_after: Duration::from_millis(3_000),
+        }
+    }
+}
+
 /// Settings of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentSettings {
@@ -63,6 +80,8 @@
     pub domain: DomainSettings,
     /// Lengths of time of the ownership's lease.
     pub lease: Timing,
+    /// Lengths of time between the agent and the owner.
+    pub reports: ReportTimings,
     /// Lengths of time of the worker's supervision.
     pub supervisor: SupervisorTimings,
     /// Secret shared by the processes of the deployment; empty if only these reach each other.
@@ -201,7 +220,11 @@
                     }
                     is_failing = false;
                     // Running into the limit is the usual case.
-                    let _ = compio::time::timeout(REPORT_INTERVAL, self.supervisor.changed()).await;
+                    let _ = compio::time::timeout(
+                        self.settings.reports.interval,
+                        self.supervisor.changed(),
+                    )
+                    .await;
                 }
                 Err(error) => {
                     if !is_failing {
@@ -212,7 +235,7 @@
                         self.locator.reject();
                     }
                     self.locator.refresh().await;
-                    compio::time::sleep(RETRY_PAUSE).await;
+                    compio::time::sleep(self.settings.reports.retry_pause).await;
                 }
             }
         }
@@ -230,7 +253,7 @@
         } else {
             self.ports
                 .client
-                .send(address, &report, REPORT_TIMEOUT)
+                .send(address, &report, self.settings.reports.timeout)
                 .await?
         };
         self.take_in(&answer, sent_at);
@@ -278,7 +301,9 @@
 
     fn should_contend(&self) -> bool {
         let is_cut_off = match self.answered_at.get() {
-            Some(at) => clock::now().saturating_duration_since(at) > CONTEND_AFTER,
+            Some(at) => {
+                clock::now().saturating_duration_since(at) > self.settings.reports.contend_after
+            }
             // The owner in the row may have died with this process's predecessor.
             None => true,
         };
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub use agent::AgentSettings;
 pub use agent::DomainAgent;
+pub use agent::ReportTimings;
 pub use entry::DomainEntry;
 pub use entry::EntrySettings;
 pub use ports::Ports;
--- /dev/null
+++ b/crates/assembly/tests/common/mod.rs
@@ -0,0 +1,394 @@
+//! A whole domain on loopback: agents with workers in memory, an entry host, and a store in memory.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub(crate) mod store;
+pub(crate) mod worker;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::JoinHandle;
+
+use nutmegwalk_assembly::AgentSettings;
+use nutmegwalk_assembly::DomainAgent;
+use nutmegwalk_assembly::DomainEntry;
+use nutmegwalk_assembly::EntrySettings;
+use nutmegwalk_assembly::Ports;
+use nutmegwalk_assembly::ReportTimings;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_domain::DomainSettings;
+use nutmegwalk_intake::Caller;
+use nutmegwalk_intake::IntakeSettings;
+use nutmegwalk_lease::Timing;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_policy::MaintenanceWave;
+use nutmegwalk_policy::OperatorRows;
+use nutmegwalk_policy::Subject;
+use nutmegwalk_store::StoreClient;
+use nutmegwalk_store::Transaction;
+use nutmegwalk_supervisor::SupervisorTimings;
+use nutmegwalk_workload::CustomerPolicy;
+use nutmegwalk_workload::JobConfiguration;
+use nutmegwalk_workload::JobSpec;
+use nutmegwalk_workload::JobState;
+use nutmegwalk_workload::Queue;
+use nutmegwalk_workload::QueuePolicy;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::ServicePolicy;
+use nutmegwalk_workload::StepSpec;
+
+use store::HostStore;
+use worker::FakePort;
+use worker::FakeWorker;
+use worker::Gangs;
+use worker::Watch;
+
+/// Time after which a state that does not come about fails a test; far longer than it takes.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Time for a caller's request.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Longest lease of the workers here.
+pub(crate) const MAX_LEASE: Duration = Duration::from_millis(2_500);
+
+/// A queue of each priority, `urgent` and `normal`, and the customer `mill` with key `key`.
+struct TestRows;
+
+fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "host".into(),
+        path_prefix: format!("/{name}/").into(),
+        is_anonymous: false,
+        policy: QueuePolicy {
+            service: "plank-desk".into(),
+            priority,
+            max_failures: 2,
+            stretch: 3.0,
+            completion_slack_ms: 1_000,
+            advice: None,
+        },
+    }
+}
+
+impl OperatorRows for TestRows {
+    fn prefix(&self) -> &str {
+        "op/"
+    }
+
+    fn subject(&self, key: &str) -> Subject {
+        match key.strip_prefix("op/out/") {
+            Some(data_centre) => Subject::OutOfService(data_centre.into()),
+            None => Subject::Configuration,
+        }
+    }
+
+    fn configuration(&self, value: &str) -> Result<JobConfiguration> {
+        let mut configuration = JobConfiguration {
+            version: value
+                .trim_matches(['{', '}'])
+                .parse()
+                .map_err(|_| Error::new(ErrorKind::InvalidConfiguration, "no version"))?,
+            ..JobConfiguration::default()
+        };
+        for queue in [queue("urgent", 0), queue("normal", 1)] {
+            configuration.queues.insert(queue.name.clone(), queue);
+        }
+        configuration
+            .services
+            .insert("plank-desk".into(), ServicePolicy::default());
+        let mill = CustomerPolicy {
+            guaranteed_accelerators: 16,
+        };
+        configuration.customers.insert("mill".into(), mill);
+        configuration.keys.insert("key".into(), "mill".into());
+        Ok(configuration)
+    }
+
+    fn wave(&self, _value: &str) -> Result<MaintenanceWave> {
+        Err(Error::new(ErrorKind::InvalidConfiguration, "no waves here"))
+    }
+}
+
+/// One host with a worker.
+pub(crate) struct Host {
+    pub(crate) worker: Rc<FakeWorker>,
+    name: Box<str>,
+    process: RefCell<Option<(JoinHandle<()>, Drain)>>,
+    heartbeats: RefCell<Option<JoinHandle<()>>>,
+}
+
+/// A whole domain.
+pub(crate) struct Site {
+    pub(crate) store: HostStore,
+    pub(crate) watch: Watch,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) entry: Rc<DomainEntry>,
+    next_worker: Cell<usize>,
+    _entry_task: JoinHandle<()>,
+}
+
+impl Site {
+    /// Starts a domain with `count` hosts and waits until it has an owner and all workers.
+    pub(crate) async fn start(count: usize) -> Self {
+        let store = HostStore::new();
+        let configuration = Transaction::new().with_put("op/config", "{1}");
+        store.memory.apply(&configuration);
+        let watch = Watch::default();
+        let gangs = Gangs::default();
+        let hosts = (0..count)
+            .map(|number| Host {
+                worker: FakeWorker::new(
+                    number,
+                    &format!("r-{}", number / 3),
+                    watch.clone(),
+                    gangs.clone(),
+                ),
+                name: format!("agent-{number}").into(),
+                process: RefCell::new(None),
+                heartbeats: RefCell::new(None),
+            })
+            .collect();
+        let entry = Rc::new(DomainEntry::new(entry_settings(), &ports("entry", &store)));
+        let running = Rc::clone(&entry);
+        let entry_task = compio::runtime::spawn(async move { running.run(Drain::new()).await });
+        let site = Self {
+            store,
+            watch,
+            hosts,
+            entry,
+            next_worker: Cell::new(count),
+            _entry_task: entry_task,
+        };
+        for host in 0..count {
+            site.start_agent(host).await;
+        }
+        site.until("the entry host is ready", || site.entry.is_ready())
+            .await;
+        site
+    }
+
+    /// Starts the agent of a host, and the heartbeats of its worker.
+    pub(crate) async fn start_agent(&self, host: usize) {
+        let host = &self.hosts[host];
+        let port = Rc::new(FakePort(Rc::clone(&host.worker)));
+        let agent = DomainAgent::bind(
+            agent_settings(&host.name),
+            ports(&host.name, &self.store),
+            port,
+        )
+        .await
+        .expect("a free port");
+        let supervisor = agent.supervisor();
+        let worker = Rc::clone(&host.worker);
+        let heartbeats = compio::runtime::spawn(async move {
+            loop {
+                if let Some(announcement) = worker.announcement() {
+                    supervisor.announce(announcement);
+                }
+                compio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        *host.heartbeats.borrow_mut() = Some(heartbeats);
+        let stop = Drain::new();
+        let running = agent.run(stop.clone());
+        let task = compio::runtime::spawn(running);
+        *host.process.borrow_mut() = Some((task, stop));
+    }
+
+    /// Ends the agent of a host as a kill would.
+    pub(crate) fn kill_agent(&self, host: usize) {
+        self.hosts[host].heartbeats.borrow_mut().take();
+        self.hosts[host].process.borrow_mut().take();
+    }
+
+    /// Kills all agents and ends the lives of all workers, as a loss of power would.
+    pub(crate) fn cut_power(&self) {
+        for host in 0..self.hosts.len() {
+            self.kill_agent(host);
+            self.hosts[host].worker.die();
+        }
+    }
+
+    /// Brings all hosts back with new lives of their workers.
+    pub(crate) async fn restore_power(&self) {
+        for host in 0..self.hosts.len() {
+            let number = self.next_worker.get();
+            self.next_worker.set(number + 1);
+            self.hosts[host].worker.be_reborn(number);
+            self.start_agent(host).await;
+        }
+    }
+
+    fn caller(&self, queue: &str) -> Caller {
+        let path = format!("/{queue}/");
+        self.entry
+            .identify("host", &path, Some("key"))
+            .expect("a known queue and key")
+    }
+
+    /// Submits a job.
+    pub(crate) async fn submit(&self, queue: &str, id: &str, spec: JobSpec) {
+        let caller = self.caller(queue);
+        let intake = self.entry.intake();
+        intake
+            .submit(&caller, id, spec, CALL_LIMIT)
+            .await
+            .expect("the store is there");
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn cancel(&self, queue: &str, id: &str) {
+        let caller = self.caller(queue);
+        let intake = self.entry.intake();
+        intake
+            .cancel(&caller, id, CALL_LIMIT)
+            .await
+            .expect("the store is there");
+    }
+
+    /// Returns the state of a job as callers see it.
+    pub(crate) async fn state(&self, queue: &str, id: &str) -> Result<JobState> {
+        let caller = self.caller(queue);
+        self.entry.intake().state(&caller, id, CALL_LIMIT).await
+    }
+
+    /// Waits until a job has a state.
+    pub(crate) async fn until_state(&self, queue: &str, id: &str, state: JobState) {
+        let started = Instant::now();
+        while self.state(queue, id).await != Ok(state) {
+            assert!(
+                started.elapsed() < PATIENCE,
+                "job {id} is not {state:?} but {:?}",
+                self.state(queue, id).await
+            );
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until a condition holds.
+    pub(crate) async fn until(&self, what: &str, condition: impl Fn() -> bool) {
+        let started = Instant::now();
+        while !condition() {
+            assert!(started.elapsed() < PATIENCE, "not in time: {what}");
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Waits until a task has begun this many times.
+    pub(crate) async fn until_begun(&self, task: &str, times: usize) {
+        self.until(&format!("{task} begins"), || {
+            self.watch.begun(task).len() >= times
+        })
+        .await;
+    }
+
+    /// Returns the host whose worker has the task's run now.
+    pub(crate) fn host_of(&self, task: &str) -> usize {
+        self.hosts
+            .iter()
+            .position(|host| host.worker.runs(task))
+            .expect("a worker has the task")
+    }
+
+    /// Returns the host whose agent owns the domain, as the lease row says.
+    pub(crate) fn owner(&self) -> Option<usize> {
+        let keys = [nutmegwalk_lease::owner_key("test")];
+        let row = self.store.memory.read(&keys).into_iter().flatten().next()?;
+        self.hosts
+            .iter()
+            .position(|host| row.value.contains(&format!("\"{}\"", host.name)))
+    }
+
+    /// Fails the test if a task ran twice.
+    pub(crate) fn check(&self) {
+        let violations = self.watch.violations();
+        assert!(violations.is_empty(), "{violations:#?}");
+    }
+}
+
+fn ports(name: &str, store: &HostStore) -> Ports {
+    let shared = Rc::new(store.clone());
+    Ports {
+        store: StoreClient::new(shared.clone(), shared.clone()),
+        feed: shared,
+        rows: Rc::new(TestRows),
+        client: Client::new(name, Secret::new("")).expect("a client"),
+    }
+}
+
+fn agent_settings(name: &str) -> AgentSettings {
+    let mut domain = DomainSettings::new("test");
+    domain.hold_for = Duration::from_secs(4);
+    AgentSettings {
+        name: name.into(),
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        domain,
+        lease: Timing {
+            lease: Duration::from_millis(1_500),
+            margin: Duration::from_millis(200),
+            renew_every: Duration::from_millis(200),
+            poll_every: Duration::from_millis(100),
+        },
+        reports: ReportTimings {
+            interval: Duration::from_millis(200),
+            ..ReportTimings::default()
+        },
+        supervisor: SupervisorTimings {
+            max_lease: MAX_LEASE,
+            busy_wait: Duration::from_millis(200),
+            idle_wait: Duration::from_millis(200),
+            mute_after: Duration::from_millis(1_000),
+            ..SupervisorTimings::default()
+        },
+        secret: Secret::new(""),
+    }
+}
+
+fn entry_settings() -> EntrySettings {
+    EntrySettings {
+        name: "entry".into(),
+        intake: IntakeSettings::default(),
+        max_policy_age: None,
+        ready_policy_age: Duration::from_secs(3),
+        leave_notice: Duration::ZERO,
+    }
+}
+
+/// Returns a job of one step with `tasks` tasks of one accelerator that take `work_ms`.
+pub(crate) fn job(tasks: u32, work_ms: u64) -> JobSpec {
+    JobSpec {
+        payload: format!("work={work_ms}").into(),
+        steps: vec![StepSpec {
+            tasks,
+            demand: Resources::new(1_000, 1_024, 1),
+            estimate_ms: work_ms,
+            ..StepSpec::default()
+        }],
+        repeat: None,
+    }
+}
+
+/// Returns a job of one gang with `tasks` tasks of eight accelerators that take `work_ms`.
+pub(crate) fn gang(tasks: u32, work_ms: u64) -> JobSpec {
+    let mut spec = job(tasks, work_ms);
+    spec.payload = format!("work={work_ms} gang={tasks}").into();
+    spec.steps[0].is_gang = true;
+    spec.steps[0].demand = Resources::new(1_000, 1_024, 8);
+    spec
+}
+
+/// Runs a test on its own runtime.
+pub(crate) fn run<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    compio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(test());
+}
--- /dev/null
+++ b/crates/assembly/tests/common/store.rs
@@ -0,0 +1,140 @@
+//! A store in memory that can be down, for one host or for all.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_store::ChangeFeed;
+use nutmegwalk_store::Changes;
+use nutmegwalk_store::MemoryStore;
+use nutmegwalk_store::ObjectStore;
+use nutmegwalk_store::Page;
+use nutmegwalk_store::Row;
+use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::TableStore;
+use nutmegwalk_store::Transaction;
+use nutmegwalk_store::TransactionOutcome;
+use nutmegwalk_store::Write;
+
+/// One host's way to the store.
+#[derive(Clone)]
+pub(crate) struct HostStore {
+    pub(crate) memory: Rc<MemoryStore>,
+    /// Nobody is answered while this is set.
+    pub(crate) is_down: Rc<Cell<bool>>,
+    /// Writes of jobs' progress are refused while this is set.
+    pub(crate) refuses_progress: Rc<Cell<bool>>,
+}
+
+impl HostStore {
+    pub(crate) fn new() -> Self {
+        Self {
+            memory: Rc::new(MemoryStore::new()),
+            is_down: Rc::default(),
+            refuses_progress: Rc::default(),
+        }
+    }
+
+    fn check(&self) -> Result<()> {
+        if self.is_down.get() {
+            return Err(Error::new(ErrorKind::StoreUnavailable, "the store is down"));
+        }
+        Ok(())
+    }
+}
+
+impl TableStore for HostStore {
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> LocalBoxFuture<'a, Result<TransactionOutcome>> {
+        async move {
+            self.check()?;
+            let is_progress = transaction.writes.iter().any(|write| match write {
+                Write::Put { key, .. } | Write::Delete { key } => key.ends_with("/progress"),
+            });
+            if is_progress && self.refuses_progress.get() {
+                return Err(Error::new(ErrorKind::StoreUnavailable, "no progress"));
+            }
+            Ok(self.memory.apply(transaction))
+        }
+        .boxed_local()
+    }
+
+    fn get<'a>(&'a self, keys: &'a [Box<str>]) -> LocalBoxFuture<'a, Result<Vec<Option<Row>>>> {
+        async move {
+            self.check()?;
+            Ok(self.memory.read(keys))
+        }
+        .boxed_local()
+    }
+
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Vec<Row>>> {
+        async move {
+            self.check()?;
+            Ok(self.memory.read_range(prefix, after, limit))
+        }
+        .boxed_local()
+    }
+}
+
+impl ChangeFeed for HostStore {
+    fn page<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Page>> {
+        async move {
+            self.check()?;
+            self.memory.page(prefix, after, limit).await
+        }
+        .boxed_local()
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: RowVersion,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Changes>> {
+        async move {
+            self.check()?;
+            let changes = self.memory.changes(prefix, after, wait).await;
+            self.check()?;
+            changes
+        }
+        .boxed_local()
+    }
+}
+
+impl ObjectStore for HostStore {
+    fn put_object<'a>(&'a self, name: &'a str, content: Bytes) -> LocalBoxFuture<'a, Result<()>> {
+        async move {
+            self.check()?;
+            self.memory.write_object(name, content);
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn get_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<Option<Bytes>>> {
+        async move {
+            self.check()?;
+            Ok(self.memory.read_object(name))
+        }
+        .boxed_local()
+    }
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -239,9 +239,10 @@
     /// Serves until `drain` starts, then finishes the requests in flight and returns.
     ///
     /// Idle connections are closed when the drain starts; each connection with a request in flight
-    /// is closed after its answer.
+    /// is closed after its answer. Dropping the returned future closes all connections at once.
     pub async fn serve<H: Handler>(self, handler: Rc<H>, drain: Drain) {
         let connections = Drain::new();
+        let abort = StartOnDrop(Drain::new());
         loop {
             let accepted = match select(pin!(self.listener.accept()), pin!(drain.started())).await {
                 Either::Left((accepted, _)) => accepted,
@@ -268,8 +269,9 @@
                 self.limits,
                 drain.clone(),
             );
+            let aborted = abort.0.clone();
             compio::runtime::spawn(async move {
-                connection.await;
+                select(pin!(connection), pin!(aborted.started())).await;
                 drop(open);
             })
             .detach();
@@ -279,6 +281,15 @@
     }
 }
 
+/// Starts a drain when it is dropped.
+struct StartOnDrop(Drain);
+
+impl Drop for StartOnDrop {
+    fn drop(&mut self) {
+        self.0.start();
+    }
+}
+
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     peer: SocketAddr,
