--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -526,8 +526,7 @@
                 .filter(|worker| &*worker.announcement.service == service)
                 .map(|worker| step.booked().count_in(worker.announcement.capacity))
                 .sum();
-            let quarter = u32::try_from(at_once / 4).unwrap_or(u32::MAX).max(1);
-            *run_time * step.tasks.div_ceil(quarter)
+            run_time.mul_f64(waves(step.tasks, at_once))
         })
         .collect();
     let after = chains_after(spec, &in_waves);
@@ -537,6 +536,13 @@
         .unwrap_or_default()
 }
 
+/// Returns in how many waves tasks run that take a quarter of the room, where `at_once` fit on all workers.
+fn waves(tasks: u32, at_once: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "tasks of a deployment")]
+    let quarter = at_once.max(1) as f64 / 4.0;
+    (f64::from(tasks) / quarter).max(1.0)
+}
+
 /// Returns the longest chain of work after each step.
 fn chains_after(spec: &JobSpec, run_times: &[Duration]) -> Vec<Duration> {
     let mut after = vec![Duration::ZERO; spec.steps.len()];
