Reach the store through peers while the own way is blocked

Change: crates/relay: requests go to a peer while the own way fails, with a try of the own way every 500 ms; a host whose own way is blocked for 700 ms is not ready.

--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -33,6 +33,8 @@
 use nutmegwalk_net::Server;
 use nutmegwalk_net::ServerLimits;
 use nutmegwalk_supervisor::Orders;
+use nutmegwalk_supervisor::PeersAnswer;
+use nutmegwalk_supervisor::PeersRequest;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::Supervisor;
@@ -141,7 +143,7 @@
         let locator = Locator::new(
             ports.store.clone(),
             &settings.domain.domain,
-            Rc::clone(&ownership),
+            Some(Rc::clone(&ownership)),
         );
         let supervisor = Supervisor::new(worker, settings.supervisor);
         Ok(Self {
@@ -263,6 +265,7 @@
     fn take_in(&self, answer: &ReportAnswer, sent_at: Instant) {
         self.answered_at.set(Some(clock::now()));
         self.is_standby.set(answer.is_standby);
+        self.ports.peers.set(answer.peers.clone());
         self.supervisor.apply_answer(answer, sent_at);
     }
 
@@ -318,6 +321,11 @@
         Response::message(&result)
     }
 
+    fn answer_peers(&self, request: &Request) -> Result<PeersAnswer> {
+        request.message::<PeersRequest>(&self.settings.secret)?;
+        self.owner.peers()
+    }
+
     fn take_in_report(&self, request: &Request) -> Response {
         let result = request
             .message::<Report>(&self.settings.secret)
@@ -331,7 +339,11 @@
         match &*request.path {
             Report::PATH => self.take_in_report(&request),
             Orders::PATH => self.carry_out(&request).await,
-            _ => Response::new(404, ""),
+            PeersRequest::PATH => Response::message(&self.answer_peers(&request)),
+            _ => match self.ports.relay.handle(&request).await {
+                Some(response) => response,
+                None => Response::new(404, ""),
+            },
         }
     }
 }
--- a/crates/assembly/src/entry.rs
+++ b/crates/assembly/src/entry.rs
@@ -6,8 +6,12 @@
 
 use compio::runtime::JoinHandle;
 use log::info;
+use log::warn;
 
 use crate::Ports;
+use crate::locator::Locator;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::Result;
 use nutmegwalk_intake::Caller;
@@ -16,6 +20,14 @@
 use nutmegwalk_intake::JobView;
 use nutmegwalk_net::Drain;
 use nutmegwalk_policy::PolicyView;
+use nutmegwalk_supervisor::PeersRequest;
+
+/// Interval at which the list of peers is renewed; they change when hosts come and go.
+const PEERS_INTERVAL: Duration = Duration::from_secs(10);
+/// Pause before another try.
+const PEERS_RETRY: Duration = Duration::from_secs(1);
+/// Time for the owner's answer.
+const PEERS_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Settings of an entry host.
 #[derive(Clone, Debug)]
@@ -30,6 +42,11 @@
     /// Age of the operators' configuration beyond which the host is not ready, so that the balancer sends
     /// new connections to hosts that can serve them.
     pub ready_policy_age: Duration,
+    /// Time for which the own way to the store may be blocked before the host is not ready; peers serve
+    /// the calls that come meanwhile.
+    pub ready_blocked: Duration,
+    /// Name of the domain, which names its lease row.
+    pub domain: Box<str>,
     /// Time for which a stopping host still serves, so that the balancer and callers leave first.
     pub leave_notice: Duration,
 }
@@ -40,6 +57,8 @@
     policy: PolicyView,
     jobs: JobView,
     intake: Intake,
+    ports: Ports,
+    locator: Rc<Locator>,
     is_leaving: Cell<bool>,
 }
 
@@ -50,11 +69,14 @@
         let policy = PolicyView::new(Rc::clone(&ports.feed), Rc::clone(&ports.rows));
         let jobs = JobView::new(Rc::clone(&ports.feed));
         let intake = Intake::new(settings.intake, ports.store.clone(), jobs.clone());
+        let locator = Locator::new(ports.store.clone(), &settings.domain, None);
         Self {
             settings,
             policy,
             jobs,
             intake,
+            ports: ports.clone(),
+            locator: Rc::new(locator),
             is_leaving: Cell::new(false),
         }
     }
@@ -76,7 +98,9 @@
     fn spawn_followers(&self) -> Vec<JoinHandle<()>> {
         let policy = self.policy.clone();
         let jobs = self.jobs.clone();
+        let (ports, locator) = (self.ports.clone(), Rc::clone(&self.locator));
         vec![
+            compio::runtime::spawn(async move { follow_peers(&ports, &locator).await }),
             compio::runtime::spawn(async move { policy.run().await }),
             compio::runtime::spawn(async move { jobs.run().await }),
         ]
@@ -86,7 +110,9 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let age = self.policy.age().unwrap_or(Duration::MAX);
+        let blocked_for = self.ports.relayed.blocked_for();
         !self.is_leaving.get()
+            && blocked_for.is_none_or(|time| time < self.settings.ready_blocked)
             && self.policy.is_known()
             && self.jobs.age().is_some()
             && age < self.settings.ready_policy_age
@@ -112,3 +138,39 @@
         &self.intake
     }
 }
+
+/// Keeps the list of agents that pass requests on to the store while the own way is blocked.
+async fn follow_peers(ports: &Ports, locator: &Locator) {
+    let mut is_failing = false;
+    loop {
+        locator.refresh().await;
+        let asked = match locator.address() {
+            Some(owner) => ports
+                .client
+                .send(owner, &PeersRequest {}, PEERS_TIMEOUT)
+                .await
+                .map(|answer| (owner, answer)),
+            None => {
+                let detail = "no owner is known";
+                Err(Error::new(ErrorKind::Unreachable, detail))
+            }
+        };
+        let pause = match asked {
+            Ok((owner, answer)) => {
+                let mut peers = answer.peers;
+                peers.push(owner);
+                ports.peers.set(peers);
+                is_failing = false;
+                PEERS_INTERVAL
+            }
+            Err(error) => {
+                if !is_failing {
+                    warn!("cannot learn of peers: {error}");
+                }
+                is_failing = true;
+                PEERS_RETRY
+            }
+        };
+        compio::time::sleep(pause).await;
+    }
+}
--- a/crates/assembly/src/locator.rs
+++ b/crates/assembly/src/locator.rs
@@ -22,14 +22,15 @@
 pub(crate) struct Locator {
     store: StoreClient,
     key: Box<str>,
-    ownership: Rc<Ownership>,
+    /// The contention of this process, if it can own the domain.
+    ownership: Option<Rc<Ownership>>,
     known: RefCell<Option<OwnerRow>>,
     /// Owners up to this epoch do not answer as owners any more.
     rejected: Cell<Epoch>,
 }
 
 impl Locator {
-    pub(crate) fn new(store: StoreClient, domain: &str, ownership: Rc<Ownership>) -> Self {
+    pub(crate) fn new(store: StoreClient, domain: &str, ownership: Option<Rc<Ownership>>) -> Self {
         Self {
             store,
             key: owner_key(domain),
@@ -42,7 +43,11 @@
     /// Returns the address of the owner, as far as it is known.
     pub(crate) fn address(&self) -> Option<SocketAddr> {
         // A contender has just read the row, so it knows best.
-        if let Some(row) = self.ownership.owner() {
+        if let Some(row) = self
+            .ownership
+            .as_ref()
+            .and_then(|ownership| ownership.owner())
+        {
             self.learn(row);
         }
         let known = self.known.borrow();
--- a/crates/assembly/src/ports.rs
+++ b/crates/assembly/src/ports.rs
@@ -1,11 +1,27 @@
 //! The platform's interfaces that both processes use.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use nutmegwalk_base::secret::Secret;
 use nutmegwalk_net::Client;
 use nutmegwalk_policy::OperatorRows;
+use nutmegwalk_relay::PeerBook;
+use nutmegwalk_relay::RelayServer;
+use nutmegwalk_relay::RelayTimings;
+use nutmegwalk_relay::RelayedStore;
+use nutmegwalk_store::Budgets;
 use nutmegwalk_store::ChangeFeed;
+use nutmegwalk_store::ClientTimings;
+use nutmegwalk_store::ObjectStore;
 use nutmegwalk_store::StoreClient;
+use nutmegwalk_store::TableStore;
+
+/// Time for one attempt at the store: on the own way, then through a peer.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest delay between attempts while the store does not answer; what waits for it has to go on within
+/// about 2 s of its return.
+const LONGEST_PROBE: Duration = Duration::from_millis(400);
 
 /// The platform's interfaces that both processes use.
 #[derive(Clone)]
@@ -18,4 +34,47 @@
     pub rows: Rc<dyn OperatorRows>,
     /// Client for messages to other processes of this system.
     pub client: Client,
+    /// Tells whether the own way to the store works.
+    pub(crate) relayed: RelayedStore,
+    /// Passes requests of peers on to the store.
+    pub(crate) relay: RelayServer,
+    /// Processes that pass requests on.
+    pub(crate) peers: PeerBook,
+}
+
+impl Ports {
+    /// Creates the ports over the platform's store and the operators' rows in it.
+    #[must_use]
+    pub fn new<S>(store: Rc<S>, rows: Rc<dyn OperatorRows>, client: Client, secret: Secret) -> Self
+    where
+        S: ChangeFeed + ObjectStore + TableStore + 'static,
+    {
+        let peers = PeerBook::new();
+        let relayed = RelayedStore::new(
+            store.clone(),
+            store.clone(),
+            client.clone(),
+            peers.clone(),
+            RelayTimings::default(),
+        );
+        let shared = Rc::new(relayed.clone());
+        let timings = ClientTimings {
+            attempt_timeout: ATTEMPT_TIMEOUT,
+            longest_probe: LONGEST_PROBE,
+        };
+        Self {
+            store: StoreClient::with_settings(
+                shared.clone(),
+                store.clone(),
+                Budgets::default(),
+                timings,
+            ),
+            feed: shared,
+            rows,
+            client,
+            relayed,
+            relay: RelayServer::new(store.clone(), store, secret),
+            peers,
+        }
+    }
 }
--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -32,7 +32,6 @@
 use nutmegwalk_policy::MaintenanceWave;
 use nutmegwalk_policy::OperatorRows;
 use nutmegwalk_policy::Subject;
-use nutmegwalk_store::StoreClient;
 use nutmegwalk_store::Transaction;
 use nutmegwalk_supervisor::SupervisorTimings;
 use nutmegwalk_workload::CustomerPolicy;
@@ -316,13 +315,13 @@
 }
 
 fn ports(name: &str, store: &HostStore) -> Ports {
-    let shared = Rc::new(store.clone());
-    Ports {
-        store: StoreClient::new(shared.clone(), shared.clone()),
-        feed: shared,
-        rows: Rc::new(TestRows),
-        client: Client::new(name, Secret::new("")).expect("a client"),
-    }
+    let client = Client::new(name, Secret::new("")).expect("a client");
+    Ports::new(
+        Rc::new(store.clone()),
+        Rc::new(TestRows),
+        client,
+        Secret::new(""),
+    )
 }
 
 fn agent_settings(name: &str) -> AgentSettings {
@@ -359,6 +358,8 @@
         intake: IntakeSettings::default(),
         max_policy_age: None,
         ready_policy_age: Duration::from_secs(3),
+        ready_blocked: Duration::from_millis(700),
+        domain: "test".into(),
         leave_notice: Duration::ZERO,
     }
 }
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -25,6 +25,7 @@
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Follower;
 use nutmegwalk_store::StoreClient;
+use nutmegwalk_supervisor::PeersAnswer;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_workload::JOB_PREFIX;
@@ -96,6 +97,22 @@
         }
     }
 
+    /// Returns agents that can pass requests on to the store.
+    ///
+    /// # Errors
+    /// `stale_epoch` when this process is not the owner.
+    pub fn peers(&self) -> Result<PeersAnswer> {
+        match &*self.term.borrow() {
+            Some(term) => Ok(PeersAnswer {
+                peers: term.peers(),
+            }),
+            None => {
+                let detail = "this process does not own the domain";
+                Err(Error::new(ErrorKind::StaleEpoch, detail))
+            }
+        }
+    }
+
     /// Returns whether this process carries out the duty.
     #[must_use]
     pub fn is_serving(&self) -> bool {
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -31,6 +32,8 @@
 
 /// Agents that stand by to take over the ownership, each in a data centre of its own.
 const STANDBYS: usize = 2;
+/// Agents that are named as peers, so that one of them is reachable through most cuts.
+const PEERS: usize = 4;
 /// Time without a report after which an agent is not counted among those that can stand by.
 const AGENT_SILENT_AFTER: Duration = Duration::from_secs(5);
 /// Time in which a report that was sent before a start can still arrive.
@@ -253,8 +256,14 @@
             acknowledged,
             hold_for_ms: as_ms(hold_for),
             is_standby,
+            peers: state.peers(Some(&report.agent), now),
         }
     }
+
+    /// Returns agents that can pass requests on to the store.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        self.state.borrow().peers(None, clock::now())
+    }
 }
 
 impl State {
@@ -362,6 +371,30 @@
         }
     }
 
+    /// Returns live agents other than `except`, of as many data centres as there are.
+    fn peers(&self, except: Option<&ProcessId>, now: Instant) -> Vec<SocketAddr> {
+        let mut by_data_centre: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        for (name, agent) in &self.agents {
+            let is_live = now.saturating_duration_since(agent.heard_at) < AGENT_SILENT_AFTER;
+            if is_live && Some(name) != except {
+                let data_centre = agent.data_centre.as_deref().unwrap_or_default();
+                by_data_centre
+                    .entry(data_centre)
+                    .or_default()
+                    .push(agent.address);
+            }
+        }
+        let mut peers = Vec::new();
+        while peers.len() < PEERS && !by_data_centre.is_empty() {
+            by_data_centre.retain(|_, addresses| {
+                peers.extend(addresses.pop());
+                !addresses.is_empty()
+            });
+        }
+        peers.truncate(PEERS);
+        peers
+    }
+
     /// Returns the agents that stand by to take over, the first of each data centre.
     fn standbys(&self, now: Instant) -> Vec<ProcessId> {
         let mut chosen: BTreeMap<&str, &ProcessId> = BTreeMap::new();
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -34,7 +34,7 @@
 impl Default for IntakeSettings {
     fn default() -> Self {
         Self {
-            store_deadline: Duration::from_millis(1_200),
+            store_deadline: Duration::from_millis(1_800),
             max_view_age: Duration::from_millis(4_000),
         }
     }
--- /dev/null
+++ b/crates/relay/src/server.rs
@@ -0,0 +1,64 @@
+//! Passing on requests of peers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::RelayAnswer;
+use crate::RelayRequest;
+use crate::store::Direct;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_net::Message;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_store::ChangeFeed;
+use nutmegwalk_store::TableStore;
+
+/// Longest time for which a peer's request may wait at the store.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// Passes requests of peers on to the store, by the own way only.
+#[derive(Clone)]
+pub struct RelayServer {
+    table: Rc<dyn TableStore>,
+    feed: Rc<dyn ChangeFeed>,
+    secret: Secret,
+}
+
+impl RelayServer {
+    /// Creates a server over the own way to the store.
+    #[must_use]
+    pub fn new(table: Rc<dyn TableStore>, feed: Rc<dyn ChangeFeed>, secret: Secret) -> Self {
+        Self {
+            table,
+            feed,
+            secret,
+        }
+    }
+
+    /// Answers a peer's request; `None` for other paths.
+    pub async fn handle(&self, request: &Request) -> Option<Response> {
+        if &*request.path != RelayRequest::PATH {
+            return None;
+        }
+        let result = match request.message::<RelayRequest>(&self.secret) {
+            Ok(request) => self.pass_on(request).await,
+            Err(error) => Err(error),
+        };
+        Some(Response::message(&result))
+    }
+
+    async fn pass_on(&self, request: RelayRequest) -> Result<RelayAnswer> {
+        if request.wait() > MAX_WAIT {
+            let detail = format!("a wait of {:?} is too long", request.wait());
+            return Err(Error::new(ErrorKind::BadRequest, detail));
+        }
+        let direct = Direct {
+            table: &*self.table,
+            feed: &*self.feed,
+        };
+        direct.send(&request).await
+    }
+}
--- /dev/null
+++ b/crates/relay/src/store.rs
@@ -0,0 +1,365 @@
+//! The store as a process reaches it, by the own way or through a peer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use log::info;
+use log::warn;
+
+use crate::PeerBook;
+use crate::RelayAnswer;
+use crate::RelayRequest;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_net::Client;
+use nutmegwalk_store::ChangeFeed;
+use nutmegwalk_store::Changes;
+use nutmegwalk_store::Page;
+use nutmegwalk_store::Row;
+use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::StoreClock;
+use nutmegwalk_store::TableStore;
+use nutmegwalk_store::Transaction;
+use nutmegwalk_store::TransactionOutcome;
+
+/// Peers that are asked for one request.
+const PEERS_A_REQUEST: usize = 2;
+/// Failures in a row on the own way after which peers are asked first.
+const FAILURES_TO_RELAY: u32 = 1;
+/// Failures in a row after which the own way counts as blocked; a single one may be a lost answer.
+const FAILURES_TO_BLOCK: u32 = 2;
+
+/// Lengths of time of a [`RelayedStore`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RelayTimings {
+    /// Time for an answer on the own way beyond what the store itself waits; more than a slow store takes.
+    pub direct_timeout: Duration,
+    /// Time for an answer through a peer beyond what the store itself waits.
+    pub relay_timeout: Duration,
+    /// Interval at which the own way is tried while it is blocked.
+    pub probe_interval: Duration,
+}
+
+impl Default for RelayTimings {
+    fn default() -> Self {
+        Self {
+            direct_timeout: Duration::from_millis(500),
+            relay_timeout: Duration::from_millis(600),
+            probe_interval: Duration::from_millis(500),
+        }
+    }
+}
+
+/// State of the own way.
+#[derive(Clone, Copy, Debug)]
+struct Way {
+    failures: u32,
+    /// When the first of the failures in a row happened.
+    failing_since: Option<Instant>,
+    tried_at: Option<Instant>,
+}
+
+/// The store, by the own way or through a peer; clones share the state.
+#[derive(Clone)]
+pub struct RelayedStore {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    table: Rc<dyn TableStore>,
+    feed: Rc<dyn ChangeFeed>,
+    client: Client,
+    peers: PeerBook,
+    timings: RelayTimings,
+    way: Cell<Way>,
+}
+
+/// The own way to the store.
+pub(crate) struct Direct<'a> {
+    pub(crate) table: &'a dyn TableStore,
+    pub(crate) feed: &'a dyn ChangeFeed,
+}
+
+impl Direct<'_> {
+    pub(crate) async fn send(&self, request: &RelayRequest) -> Result<RelayAnswer> {
+        match request {
+            RelayRequest::Transact(transaction) => self
+                .table
+                .transact(transaction)
+                .await
+                .map(RelayAnswer::Transaction),
+            RelayRequest::Get(keys) => self.table.get(keys).await.map(RelayAnswer::Rows),
+            RelayRequest::Page {
+                prefix,
+                after,
+                limit,
+            } => self
+                .feed
+                .page(prefix, after, *limit)
+                .await
+                .map(RelayAnswer::Page),
+            RelayRequest::Changes {
+                prefix,
+                after,
+                wait_ms,
+            } => self
+                .feed
+                .changes(prefix, *after, Duration::from_millis(*wait_ms))
+                .await
+                .map(RelayAnswer::Changes),
+        }
+    }
+}
+
+impl RelayedStore {
+    /// Creates a store over the own way, `table` and `feed`, with peers to ask while that is blocked.
+    #[must_use]
+    pub fn new(
+        table: Rc<dyn TableStore>,
+        feed: Rc<dyn ChangeFeed>,
+        client: Client,
+        peers: PeerBook,
+        timings: RelayTimings,
+    ) -> Self {
+        Self {
+            inner: Rc::new(Inner {
+                table,
+                feed,
+                client,
+                peers,
+                timings,
+                way: Cell::new(Way {
+                    failures: 0,
+                    failing_since: None,
+                    tried_at: None,
+                }),
+            }),
+        }
+    }
+
+    /// Returns for how long the own way has been failing; `None` while it works.
+    #[must_use]
+    pub fn blocked_for(&self) -> Option<Duration> {
+        let way = self.inner.way.get();
+        let since = way
+            .failing_since
+            .filter(|_| way.failures >= FAILURES_TO_BLOCK)?;
+        Some(clock::now().saturating_duration_since(since))
+    }
+
+    async fn send(&self, request: RelayRequest) -> Result<RelayAnswer> {
+        let inner = &self.inner;
+        if !inner.should_try_own_way() {
+            match inner.ask_peers(&request).await {
+                Err(error) if error.outcome() == Outcome::NotRun => {}
+                result => return result,
+            }
+        }
+        match inner.go_own_way(&request).await {
+            Err(error) if error.kind == ErrorKind::StoreUnavailable => {
+                inner.ask_peers(&request).await.map_err(|_| error)
+            }
+            result => result,
+        }
+    }
+}
+
+impl Inner {
+    /// Returns whether the own way works, or is due for another try.
+    fn should_try_own_way(&self) -> bool {
+        let way = self.way.get();
+        way.failures < FAILURES_TO_RELAY
+            || way.tried_at.is_none_or(|at| {
+                clock::now().saturating_duration_since(at) >= self.timings.probe_interval
+            })
+    }
+
+    async fn go_own_way(&self, request: &RelayRequest) -> Result<RelayAnswer> {
+        let now = clock::now();
+        let mut way = self.way.get();
+        way.tried_at = Some(now);
+        self.way.set(way);
+        let direct = Direct {
+            table: &*self.table,
+            feed: &*self.feed,
+        };
+        let limit = request.wait() + self.timings.direct_timeout;
+        let result = match compio::time::timeout(limit, direct.send(request)).await {
+            Ok(result) => result,
+            Err(_) => Err(no_answer(request, limit)),
+        };
+        let failed = result.as_ref().is_err_and(|error| {
+            matches!(
+                error.kind,
+                ErrorKind::StoreUnavailable | ErrorKind::StoreUnknown
+            )
+        });
+        self.note(failed);
+        result
+    }
+
+    /// Notes how a request on the own way went.
+    fn note(&self, failed: bool) {
+        let mut way = self.way.get();
+        if !failed {
+            if way.failures >= FAILURES_TO_BLOCK {
+                info!("the own way to the store works again");
+            }
+            way.failures = 0;
+            way.failing_since = None;
+        } else {
+            way.failures = way.failures.saturating_add(1);
+            way.failing_since.get_or_insert_with(clock::now);
+            if way.failures == FAILURES_TO_BLOCK {
+                warn!("the own way to the store is blocked, asking peers");
+            }
+        }
+        self.way.set(way);
+    }
+
+    async fn ask_peers(&self, request: &RelayRequest) -> Result<RelayAnswer> {
+        let limit = request.wait() + self.timings.relay_timeout;
+        let mut last = Error::new(ErrorKind::StoreUnavailable, "no peer is known");
+        for address in self.peers.choose(PEERS_A_REQUEST) {
+            match self.client.send(address, request, limit).await {
+                Ok(answer) => {
+                    self.peers.prove(address);
+                    return Ok(answer);
+                }
+                Err(error) => {
+                    self.peers.doubt(address);
+                    last = peer_error(request, error);
+                    if last.outcome() != Outcome::NotRun {
+                        return Err(last);
+                    }
+                }
+            }
+        }
+        Err(last)
+    }
+}
+
+fn is_write(request: &RelayRequest) -> bool {
+    matches!(request, RelayRequest::Transact(_))
+}
+
+/// Returns the error of a request that was not answered.
+fn no_answer(request: &RelayRequest, limit: Duration) -> Error {
+    let kind = if is_write(request) {
+        ErrorKind::StoreUnknown
+    } else {
+        ErrorKind::StoreUnavailable
+    };
+    Error::new(kind, format!("the store did not answer in {limit:?}"))
+}
+
+/// Maps a failure of a peer to what it means for the request to the store.
+fn peer_error(request: &RelayRequest, error: Error) -> Error {
+    let kind = match error.kind {
+        // What the store itself has said.
+        ErrorKind::BadRequest
+        | ErrorKind::Forbidden
+        | ErrorKind::HistoryLost
+        | ErrorKind::StoreUnavailable
+        | ErrorKind::StoreUnknown => error.kind,
+        _ if error.outcome() == Outcome::NotRun || !is_write(request) => {
+            ErrorKind::StoreUnavailable
+        }
+        _ => ErrorKind::StoreUnknown,
+    };
+    Error { kind, ..error }
+}
+
+/// Returns the error of a peer whose answer does not belong to the request.
+fn mismatch() -> Error {
+    let detail = "a peer answered another request";
+    Error::new(ErrorKind::StoreUnknown, detail)
+}
+
+impl TableStore for RelayedStore {
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> LocalBoxFuture<'a, Result<TransactionOutcome>> {
+        async move {
+            let request = RelayRequest::Transact(transaction.clone());
+            match self.send(request).await? {
+                RelayAnswer::Transaction(outcome) => Ok(outcome),
+                _ => Err(mismatch()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn get<'a>(&'a self, keys: &'a [Box<str>]) -> LocalBoxFuture<'a, Result<Vec<Option<Row>>>> {
+        async move {
+            match self.send(RelayRequest::Get(keys.to_vec())).await? {
+                RelayAnswer::Rows(rows) if rows.len() == keys.len() => Ok(rows),
+                _ => Err(mismatch()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Vec<Row>>> {
+        async move { Ok(self.page(prefix, after, limit).await?.rows) }.boxed_local()
+    }
+
+    fn clock(&self) -> Option<StoreClock> {
+        self.inner.table.clock()
+    }
+}
+
+impl ChangeFeed for RelayedStore {
+    fn page<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, Result<Page>> {
+        async move {
+            let request = RelayRequest::Page {
+                prefix: prefix.into(),
+                after: after.into(),
+                limit,
+            };
+            match self.send(request).await? {
+                RelayAnswer::Page(page) => Ok(page),
+                _ => Err(mismatch()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: RowVersion,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Changes>> {
+        async move {
+            let request = RelayRequest::Changes {
+                prefix: prefix.into(),
+                after,
+                wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            };
+            match self.send(request).await? {
+                RelayAnswer::Changes(changes) => Ok(changes),
+                _ => Err(mismatch()),
+            }
+        }
+        .boxed_local()
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -38,8 +38,24 @@
 const MAX_BATCHES: usize = 4;
 /// Transactions of one duty that wait for a batch; more are refused to bound the memory in an outage.
 const MAX_WAITING: usize = 10_000;
-/// Time for one attempt, so that a lost answer leaves time for a read-back within the deadline.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Lengths of time of a client.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClientTimings {
+    /// Time for one attempt, so that a lost answer leaves time for a read-back within the deadline.
+    pub attempt_timeout: Duration,
+    /// Longest delay between two attempts to reach a store that does not answer.
+    pub longest_probe: Duration,
+}
+
+impl Default for ClientTimings {
+    fn default() -> Self {
+        Self {
+            attempt_timeout: Duration::from_secs(2),
+            longest_probe: Duration::from_secs(5),
+        }
+    }
+}
 
 /// Batches, paces and repeats requests to the store; clones share everything.
 #[derive(Clone)]
@@ -55,6 +71,7 @@
     write_buckets: RefCell<Buckets>,
     read_buckets: RefCell<Buckets>,
     counters: CounterCell,
+    timings: ClientTimings,
 }
 
 #[derive(Default)]
@@ -68,7 +85,7 @@
     /// Creates a client with the default budgets.
     #[must_use]
     pub fn new(table: Rc<dyn TableStore>, objects: Rc<dyn ObjectStore>) -> Self {
-        Self::with_budgets(table, objects, Budgets::default())
+        Self::with_settings(table, objects, Budgets::default(), ClientTimings::default())
     }
 
     /// Creates a client with its own budgets.
@@ -77,6 +94,17 @@
         table: Rc<dyn TableStore>,
         objects: Rc<dyn ObjectStore>,
         budgets: Budgets,
+    ) -> Self {
+        Self::with_settings(table, objects, budgets, ClientTimings::default())
+    }
+
+    /// Creates a client with its own budgets and lengths of time.
+    #[must_use]
+    pub fn with_settings(
+        table: Rc<dyn TableStore>,
+        objects: Rc<dyn ObjectStore>,
+        budgets: Budgets,
+        timings: ClientTimings,
     ) -> Self {
         let now = Instant::now();
         Self {
@@ -84,10 +112,11 @@
                 table,
                 objects,
                 queues: Default::default(),
-                breaker: RefCell::new(Breaker::new()),
+                breaker: RefCell::new(Breaker::with_longest_probe(timings.longest_probe)),
                 write_buckets: RefCell::new(Buckets::new(budgets.writes_per_second, now)),
                 read_buckets: RefCell::new(Buckets::new(budgets.reads_per_second, now)),
                 counters: CounterCell::default(),
+                timings,
             }),
         }
     }
@@ -329,7 +358,7 @@
         timeout_kind: ErrorKind,
     ) -> Result<T> {
         let remaining = until.saturating_duration_since(Instant::now());
-        let limit = ATTEMPT_TIMEOUT.min(remaining.mul_f64(0.7));
+        let limit = self.timings.attempt_timeout.min(remaining.mul_f64(0.7));
         let result = match compio::time::timeout(limit, request).await {
             Ok(result) => result,
             Err(_) => {
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -8,6 +8,8 @@
 use futures_util::future::LocalBoxFuture;
 use log::info;
 use log::warn;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::Row;
 use crate::RowVersion;
@@ -26,7 +28,8 @@
 const LONGEST_RETRY: Duration = Duration::from_millis(400);
 
 /// A change of one row.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Change {
     /// The row was created or replaced.
     Put(Row),
@@ -40,7 +43,7 @@
 }
 
 /// The changes after a version.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Changes {
     /// Changes in the order in which they were made.
     pub changes: Vec<Change>,
@@ -49,7 +52,7 @@
 }
 
 /// A page of the rows under a prefix.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
     /// Rows in key order.
     pub rows: Vec<Row>,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub use breaker::Breaker;
 pub use budget::Budgets;
+pub use client::ClientTimings;
 pub use client::StoreClient;
 pub use duty::Counters;
 pub use duty::Duty;
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -14,6 +14,8 @@
 pub use message::Orders;
 pub use message::OrdersAnswer;
 pub use message::PaceOrder;
+pub use message::PeersAnswer;
+pub use message::PeersRequest;
 pub use message::Report;
 pub use message::ReportAnswer;
 pub use message::StartOrder;
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -75,6 +75,24 @@
     pub hold_for_ms: u64,
     /// Whether the agent stands by to take over the ownership.
     pub is_standby: bool,
+    /// Other agents that can pass requests on to the store.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Asks the owner for agents that can pass requests on to the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeersRequest {}
+
+/// Agents that can pass requests on to the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeersAnswer {
+    /// Their addresses.
+    pub peers: Vec<SocketAddr>,
+}
+
+impl Message for PeersRequest {
+    type Answer = PeersAnswer;
+    const PATH: &'static str = "/v1/domain/peers";
 }
 
 impl Message for Report {
