Count a renewal of a worker's lease from when it is sent

Meanwhile the lease counted as lapsed, and the owner started the tasks again while they ran. Ruled out: orders of the former owner (its epoch was refused), late starts (none). Change: a renewal counts from when it is sent and is taken back only if it was not sent.

--- a/crates/supervisor/src/lease.rs
+++ b/crates/supervisor/src/lease.rs
@@ -60,9 +60,19 @@
         now.saturating_duration_since(self.answered_at)
     }
 
-    /// Notes that a request with this end of the lease may have reached the worker.
-    pub fn renewed(&mut self, lease_until_clock_ms: u64) {
-        self.lease_until_clock_ms = self.lease_until_clock_ms.max(lease_until_clock_ms);
+    /// Notes that a request with this end of the lease is being sent; returns the end known before.
+    pub fn renewing(&mut self, lease_until_clock_ms: u64) -> u64 {
+        let before = self.lease_until_clock_ms;
+        self.lease_until_clock_ms = before.max(lease_until_clock_ms);
+        before
+    }
+
+    /// Takes back the last [`LeaseClock::renewing`], because the request was not sent after all.
+    pub fn not_renewed(&mut self, lease_until_clock_ms: u64, before: u64) {
+        // Another request may have moved the end on meanwhile.
+        if self.lease_until_clock_ms == lease_until_clock_ms {
+            self.lease_until_clock_ms = before;
+        }
     }
 
     /// Returns whether the lease has lapsed at `now` for certain.
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -96,9 +96,9 @@
                     break;
                 }
             };
+            let renewal = self.begin_renewal(&orders.worker, Some(request.lease_until_clock_ms));
             let answer = bounded(ORDER_TIMEOUT, self.port.start(&request)).await;
-            let until_ms = request.lease_until_clock_ms;
-            self.note_renewal(&orders.worker, until_ms, answer.as_ref().err());
+            self.end_renewal(renewal, answer.as_ref().err());
             match answer {
                 Ok(answer) => {
                     outcome = match answer.refusal {
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -170,6 +170,13 @@
     }
 }
 
+/// A renewal of the lease on its way.
+pub(crate) struct Renewal {
+    worker: WorkerRef,
+    until_ms: u64,
+    before_ms: u64,
+}
+
 impl Supervisor {
     /// Creates the supervision of the worker behind `port`.
     #[must_use]
@@ -358,23 +365,41 @@
     /// Looks at the worker once.
     pub(crate) async fn hold(&self, request: &HoldRequest) -> Result<()> {
         let limit = request.wait + self.timings.answer_timeout;
+        let renewal = self.begin_renewal(&request.worker, request.lease_until_clock_ms);
         let answer = bounded(limit, self.port.hold(request)).await;
-        if let Some(until_ms) = request.lease_until_clock_ms {
-            self.note_renewal(&request.worker, until_ms, answer.as_ref().err());
-        }
+        self.end_renewal(renewal, answer.as_ref().err());
         self.absorb(&request.worker, answer?)
     }
 
-    /// Notes that the lease may have been renewed by a request, unless the request was not even sent.
-    pub(crate) fn note_renewal(&self, asked: &WorkerRef, until_ms: u64, error: Option<&Error>) {
-        if error.is_some_and(|error| error.outcome() == Outcome::NotRun) {
-            return;
+    /// Notes that a request that renews the lease is being sent. The worker may have it from now on.
+    pub(crate) fn begin_renewal(
+        &self,
+        asked: &WorkerRef,
+        until_ms: Option<u64>,
+    ) -> Option<Renewal> {
+        let until_ms = until_ms?;
+        let mut state = self.state.borrow_mut();
+        let worker = state.worker.as_mut()?;
+        if worker.worker() != asked {
+            return None;
         }
-        if let Some(worker) = &mut self.state.borrow_mut().worker
-            && worker.worker() == asked
+        let before_ms = worker.clock.as_mut()?.renewing(until_ms);
+        Some(Renewal {
+            worker: asked.clone(),
+            until_ms,
+            before_ms,
+        })
+    }
+
+    /// Takes a renewal back whose request was not even sent.
+    pub(crate) fn end_renewal(&self, renewal: Option<Renewal>, error: Option<&Error>) {
+        let is_unsent = error.is_some_and(|error| error.outcome() == Outcome::NotRun);
+        if let Some(renewal) = renewal.filter(|_| is_unsent)
+            && let Some(worker) = &mut self.state.borrow_mut().worker
+            && *worker.worker() == renewal.worker
             && let Some(clock) = &mut worker.clock
         {
-            clock.renewed(until_ms);
+            clock.not_renewed(renewal.until_ms, renewal.before_ms);
         }
     }
 
--- /dev/null
+++ b/crates/supervisor/tests/lease.rs
@@ -0,0 +1,167 @@
+//! Tests of the worker's lease as the agent knows it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Result;
+use nutmegwalk_supervisor::Announcement;
+use nutmegwalk_supervisor::HoldAnswer;
+use nutmegwalk_supervisor::HoldRequest;
+use nutmegwalk_supervisor::LeaseClock;
+use nutmegwalk_supervisor::ReportAnswer;
+use nutmegwalk_supervisor::StartAnswer;
+use nutmegwalk_supervisor::StartRequest;
+use nutmegwalk_supervisor::Supervisor;
+use nutmegwalk_supervisor::SupervisorTimings;
+use nutmegwalk_supervisor::TaskRun;
+use nutmegwalk_supervisor::WorkerPort;
+use nutmegwalk_supervisor::WorkerState;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::WorkerRef;
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() $body)* };
+}
+
+const MAX_LEASE: Duration = Duration::from_millis(1_200);
+
+/// A worker that answers looks after the time that it is asked to wait, or not at all.
+struct SlowWorker {
+    origin: Instant,
+    is_refusing: Cell<bool>,
+}
+
+impl WorkerPort for SlowWorker {
+    fn start<'a>(&'a self, _request: &'a StartRequest) -> LocalBoxFuture<'a, Result<StartAnswer>> {
+        std::future::pending().boxed_local()
+    }
+
+    fn stop<'a>(
+        &'a self,
+        _worker: &'a WorkerRef,
+        _run: &'a TaskRun,
+        _epoch: Epoch,
+    ) -> LocalBoxFuture<'a, Result<()>> {
+        std::future::pending().boxed_local()
+    }
+
+    fn pace<'a>(
+        &'a self,
+        _worker: &'a WorkerRef,
+        _run: &'a TaskRun,
+        _percent: u32,
+        _epoch: Epoch,
+    ) -> LocalBoxFuture<'a, Result<()>> {
+        std::future::pending().boxed_local()
+    }
+
+    fn hold<'a>(&'a self, request: &'a HoldRequest) -> LocalBoxFuture<'a, Result<HoldAnswer>> {
+        async move {
+            if self.is_refusing.get() {
+                return Err(Error::new(ErrorKind::Unreachable, "connection refused"));
+            }
+            compio::time::sleep(request.wait).await;
+            let clock_ms = u64::try_from(self.origin.elapsed().as_millis()).expect("a short test");
+            Ok(HoldAnswer {
+                clock_ms,
+                ..HoldAnswer::default()
+            })
+        }
+        .boxed_local()
+    }
+}
+
+fn worker() -> WorkerRef {
+    WorkerRef {
+        id: "i-1".into(),
+        born_unix_ms: 1,
+        machine: None,
+    }
+}
+
+fn supervise(port: Rc<SlowWorker>) -> Supervisor {
+    let supervisor = Supervisor::new(
+        port,
+        SupervisorTimings {
+            max_lease: MAX_LEASE,
+            idle_wait: Duration::from_millis(1_000),
+            ..SupervisorTimings::default()
+        },
+    );
+    supervisor.announce(Announcement {
+        worker: worker(),
+        service: "plank-desk".into(),
+        data_centre: "ventspils".into(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources::default(),
+        state: WorkerState::Ready,
+        cold_remaining_ms: 0,
+        sequence: 1,
+    });
+    let answer = ReportAnswer {
+        epoch: 1,
+        worker: Some(worker()),
+        acknowledged: 0,
+        hold_for_ms: 60_000,
+        is_standby: false,
+        peers: Vec::new(),
+    };
+    supervisor.apply_answer(&answer, Instant::now());
+    let running = supervisor.clone();
+    compio::runtime::spawn(async move { running.run().await }).detach();
+    supervisor
+}
+
+fn has_lapsed(supervisor: &Supervisor) -> bool {
+    supervisor.status().expect("a worker").has_lapsed
+}
+
+cases! {
+    // Guards against a renewal that counts only when it is answered: the worker has it before, and what
+    // runs there would be started elsewhere as well.
+    renewal_on_its_way_counts => {
+        compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+            let port = Rc::new(SlowWorker { origin: Instant::now(), is_refusing: Cell::new(false) });
+            let supervisor = supervise(port);
+            let until = Instant::now() + Duration::from_millis(3_500);
+            while Instant::now() < until {
+                assert!(!has_lapsed(&supervisor));
+                compio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+
+    // Guards against a dead worker whose lease is taken to be renewed by requests that cannot be sent.
+    lease_of_a_dead_worker_lapses => {
+        compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+            let port = Rc::new(SlowWorker { origin: Instant::now(), is_refusing: Cell::new(false) });
+            let supervisor = supervise(Rc::clone(&port));
+            compio::time::sleep(Duration::from_millis(100)).await;
+            port.is_refusing.set(true);
+            let started = Instant::now();
+            while !has_lapsed(&supervisor) {
+                assert!(started.elapsed() < Duration::from_secs(30));
+                compio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+
+    // Guards against a lease that outlasts its horizon on a clock that is slow.
+    lease_ends_before_the_horizon_on_a_slow_clock => {
+        let answered_at = Instant::now();
+        let clock = LeaseClock::new(100_000, answered_at, MAX_LEASE);
+        let horizon = answered_at + Duration::from_millis(1_000);
+        let until_ms = clock.lease_until_ms(answered_at, horizon, MAX_LEASE);
+        // A clock that is 2% slow shows 980 ms when 1,000 ms have passed.
+        assert!(until_ms <= 100_980, "{until_ms}");
+    }
+}
