Notice a cut way to the store sooner, and write only on ways that work

Change: feeds wait 0.7 s, one failure makes peers be asked first, and writes are not sent on a way that fails: their callers get a true 503 at once.

--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -31,10 +31,6 @@
 
 /// Peers that are asked for one request.
 const PEERS_A_REQUEST: usize = 2;
-/// Failures in a row on the own way after which peers are asked first.
-const FAILURES_TO_RELAY: u32 = 1;
-/// Failures in a row after which the own way counts as blocked; a single one may be a lost answer.
-const FAILURES_TO_BLOCK: u32 = 2;
 
 /// Lengths of time of a [`RelayedStore`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,8 +56,7 @@
 /// State of the own way.
 #[derive(Clone, Copy, Debug)]
 struct Way {
-    failures: u32,
-    /// When the first of the failures in a row happened.
+    /// When the first of the requests that failed in a row was sent.
     failing_since: Option<Instant>,
     tried_at: Option<Instant>,
 }
@@ -136,7 +131,6 @@
                 peers,
                 timings,
                 way: Cell::new(Way {
-                    failures: 0,
                     failing_since: None,
                     tried_at: None,
                 }),
@@ -144,21 +138,21 @@
         }
     }
 
-    /// Returns for how long the own way has been failing; `None` while it works.
+    /// Returns for how long the own way has been failing; `None` while it works. A short time may be no more
+    /// than a lost answer.
     #[must_use]
     pub fn blocked_for(&self) -> Option<Duration> {
-        let way = self.inner.way.get();
-        let since = way
-            .failing_since
-            .filter(|_| way.failures >= FAILURES_TO_BLOCK)?;
+        let since = self.inner.way.get().failing_since?;
         Some(clock::now().saturating_duration_since(since))
     }
 
     async fn send(&self, request: RelayRequest) -> Result<RelayAnswer> {
         let inner = &self.inner;
-        if !inner.should_try_own_way() {
+        if !inner.should_try_own_way(&request) {
             match inner.ask_peers(&request).await {
-                Err(error) if error.outcome() == Outcome::NotRun => {}
+                // Only reads try a way that fails: a write that is lost there would leave its caller without
+                // an answer.
+                Err(error) if error.outcome() == Outcome::NotRun && !is_write(&request) => {}
                 result => return result,
             }
         }
@@ -172,13 +166,16 @@
 }
 
 impl Inner {
-    /// Returns whether the own way works, or is due for another try.
-    fn should_try_own_way(&self) -> bool {
+    /// Returns whether the own way works, or is due for another try by a read.
+    fn should_try_own_way(&self, request: &RelayRequest) -> bool {
         let way = self.way.get();
-        way.failures < FAILURES_TO_RELAY
-            || way.tried_at.is_none_or(|at| {
-                clock::now().saturating_duration_since(at) >= self.timings.probe_interval
-            })
+        if way.failing_since.is_none() {
+            return true;
+        }
+        let is_due = way.tried_at.is_none_or(|at| {
+            clock::now().saturating_duration_since(at) >= self.timings.probe_interval
+        });
+        is_due && !is_write(request)
     }
 
     async fn go_own_way(&self, request: &RelayRequest) -> Result<RelayAnswer> {
@@ -201,25 +198,20 @@
                 ErrorKind::StoreUnavailable | ErrorKind::StoreUnknown
             )
         });
-        self.note(failed);
+        self.note(now, failed);
         result
     }
 
-    /// Notes how a request on the own way went.
-    fn note(&self, failed: bool) {
+    /// Notes how a request that was sent on the own way at `sent_at` went.
+    fn note(&self, sent_at: Instant, failed: bool) {
         let mut way = self.way.get();
         if !failed {
-            if way.failures >= FAILURES_TO_BLOCK {
+            if way.failing_since.take().is_some() {
                 info!("the own way to the store works again");
             }
-            way.failures = 0;
-            way.failing_since = None;
-        } else {
-            way.failures = way.failures.saturating_add(1);
-            way.failing_since.get_or_insert_with(clock::now);
-            if way.failures == FAILURES_TO_BLOCK {
-                warn!("the own way to the store is blocked, asking peers");
-            }
+        } else if way.failing_since.is_none() {
+            warn!("the own way to the store fails, asking peers");
+            way.failing_since = Some(sent_at);
         }
         self.way.set(way);
     }
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -97,17 +97,18 @@
 /// Lengths of time of a follower.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FollowTimings {
-    /// Time for which one request waits for a change; it bounds the age of a view when nothing changes.
+    /// Time for which one request waits for a change; it bounds the age of a view when nothing changes, and
+    /// with it the time until a way to the store that was cut is noticed.
     pub wait: Duration,
-    /// Time beyond `wait` after which a connection is taken for dead.
+    /// Time beyond `wait` after which a request is given up, on the own way and through a peer.
     pub answer_margin: Duration,
 }
 
 impl Default for FollowTimings {
     fn default() -> Self {
         Self {
-            wait: Duration::from_millis(1000),
-            answer_margin: Duration::from_millis(600),
+            wait: Duration::from_millis(700),
+            answer_margin: Duration::from_millis(1_200),
         }
     }
 }
