Find an owner that was asked before its term had begun, and plan all tasks of a step ahead

Ruled out: the store (agents read it), the relay (all ways worked again within 0.5 s). Change: a refusal holds only until the row's next renewal, and an owner whose term is about to begin says so. The time for an answer of the store grows while none comes, so that a slow store is told from a cut one. A step's places are planned for all its tasks, and urgent work may displace twice its own work.

--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -14,4 +14,5 @@
 pub use agent::ReportTimings;
 pub use entry::DomainEntry;
 pub use entry::EntrySettings;
+pub use locator::Locator;
 pub use ports::Ports;
--- a/crates/assembly/src/locator.rs
+++ b/crates/assembly/src/locator.rs
@@ -19,29 +19,34 @@
 const READ_DEADLINE: Duration = Duration::from_millis(600);
 
 /// Knows the owner from the lease row.
-pub(crate) struct Locator {
+pub struct Locator {
     store: StoreClient,
     key: Box<str>,
     /// The contention of this process, if it can own the domain.
     ownership: Option<Rc<Ownership>>,
     known: RefCell<Option<OwnerRow>>,
-    /// Owners up to this epoch do not answer as owners any more.
-    rejected: Cell<Epoch>,
+    /// Epoch and renewal of the row whose holder said that it is not the owner. It may only have been too
+    /// early: a later renewal shows that it is the owner.
+    rejected: Cell<(Epoch, u64)>,
 }
 
 impl Locator {
-    pub(crate) fn new(store: StoreClient, domain: &str, ownership: Option<Rc<Ownership>>) -> Self {
+    /// Creates a locator for the owner of `domain`; `ownership` is the contention of this process, if it can
+    /// own the domain.
+    #[must_use]
+    pub fn new(store: StoreClient, domain: &str, ownership: Option<Rc<Ownership>>) -> Self {
         Self {
             store,
             key: owner_key(domain),
             ownership,
             known: RefCell::new(None),
-            rejected: Cell::new(0),
+            rejected: Cell::new((0, 0)),
         }
     }
 
     /// Returns the address of the owner, as far as it is known.
-    pub(crate) fn address(&self) -> Option<SocketAddr> {
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
         // A contender has just read the row, so it knows best.
         if let Some(row) = self
             .ownership
@@ -52,20 +57,21 @@
         }
         let known = self.known.borrow();
         let row = known.as_ref()?;
-        (row.epoch > self.rejected.get() && !row.is_released())
+        ((row.epoch, row.renewal) > self.rejected.get() && !row.is_released())
             .then(|| row.address.parse().ok())
             .flatten()
     }
 
     /// Notes that the known owner has said that it is not the owner.
-    pub(crate) fn reject(&self) {
+    pub fn reject(&self) {
         if let Some(row) = &*self.known.borrow() {
-            self.rejected.set(self.rejected.get().max(row.epoch));
+            let rejected = (row.epoch, row.renewal);
+            self.rejected.set(self.rejected.get().max(rejected));
         }
     }
 
     /// Reads the lease row.
-    pub(crate) async fn refresh(&self) {
+    pub async fn refresh(&self) {
         let keys = [self.key.clone()];
         let rows = match self.store.get(Duty::Ownership, &keys, READ_DEADLINE).await {
             Ok(rows) => rows,
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -90,6 +90,10 @@
                 Err(Error::new(ErrorKind::StaleView, detail))
             }
             Some(term) if !term.is_superseded() => Ok(term.take_in(report)),
+            _ if self.ownership.current().is_some() => {
+                let detail = "the owner's term is about to begin";
+                Err(Error::new(ErrorKind::StaleView, detail))
+            }
             _ => {
                 let detail = "this process does not own the domain";
                 Err(Error::new(ErrorKind::StaleEpoch, detail))
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -71,6 +71,7 @@
             queue = &*record.queue,
             customer = record.customer.as_deref().unwrap_or(""),
             config_version = record.config_version,
+            steps = record.spec.summary().as_str(),
             age_ms = crate::term::as_ms(age);
             "job taken in"
         );
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -31,7 +31,7 @@
 /// With the time to store the decision and to stop tasks it stays below the time promised for a reclaim.
 const RECLAIM_PATIENCE: Duration = Duration::from_millis(600);
 /// A step that is not guaranteed displaces others only if they lose at most this many times its own work.
-const MAX_LOSS_FACTOR: f64 = 1.0;
+const MAX_LOSS_FACTOR: f64 = 2.0;
 /// Cores that an accelerator counts as when work is weighed.
 pub(crate) const CORES_PER_ACCELERATOR: u64 = 8;
 
@@ -57,7 +57,16 @@
     plan: Plan,
 }
 
+/// Places in the future.
+#[derive(Default)]
+struct Later {
+    places: Vec<(Duration, Vec<usize>)>,
+    /// Time until all tasks have started, if there are places for all of them.
+    all_start_in: Option<Duration>,
+}
+
 /// The part of a step that is not placed yet.
+#[derive(Clone)]
 struct Rest {
     tasks: u32,
     allowance: Allowance,
@@ -93,16 +102,16 @@
             return;
         }
         self.planned += 1;
-        let found = self.earliest(step, &rest, locality);
-        let starts_in = found.as_ref().map(|(time, _)| *time);
+        let later = self.places_later(step, &rest, locality);
+        let starts_in = later.all_start_in;
         if self.preempt(index, &rest, locality, starts_in) {
             return;
         }
         if locality == Locality::Near && self.compromise(index, &mut rest, starts_in) {
             return;
         }
-        if let Some((time, places)) = found {
-            self.profile.take(&places, step.demand, time, step.run_time);
+        for (time, places) in &later.places {
+            self.profile.take(places, step.demand, *time, step.run_time);
         }
         self.wait(index, rest.tasks, WaitReason::Planned, starts_in);
     }
@@ -164,15 +173,14 @@
         rest.take(places);
     }
 
-    /// Finds the earliest time at which the rest of a step, or a part of it that may start alone, fits.
-    fn earliest(
-        &self,
-        step: &WaitingStep,
-        rest: &Rest,
-        locality: Locality,
-    ) -> Option<(Duration, Vec<usize>)> {
-        self.profile.times()[1..].iter().find_map(|time| {
-            let room = self.profile.room(*time, step.run_time);
+    /// Finds the earliest places for the rest of a step: for all tasks of a gang together, else for as many
+    /// at a time as fit.
+    fn places_later(&self, step: &WaitingStep, rest: &Rest, locality: Locality) -> Later {
+        let mut later = Later::default();
+        let mut rest = rest.clone();
+        let mut profile = self.profile.clone();
+        for time in &self.profile.times()[1..] {
+            let room = profile.room(*time, step.run_time);
             let places = place(
                 self.snapshot,
                 step,
@@ -181,8 +189,18 @@
                 rest.tasks,
                 locality,
             );
-            (!places.is_empty()).then_some((*time, places))
-        })
+            if places.is_empty() {
+                continue;
+            }
+            profile.take(&places, step.demand, *time, step.run_time);
+            rest.take(&places);
+            later.places.push((*time, places));
+            if rest.tasks == 0 {
+                later.all_start_in = Some(*time);
+                break;
+            }
+        }
+        later
     }
 
     /// Has others give way if the step must not wait; returns whether it did.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -35,8 +35,11 @@
 /// Lengths of time of a [`RelayedStore`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RelayTimings {
-    /// Time for an answer on the own way beyond what the store itself waits; more than a slow store takes.
+    /// Time for an answer on the own way beyond what the store itself waits. It grows while nothing answers,
+    /// so that a slow store is told from one that is cut off.
     pub direct_timeout: Duration,
+    /// Longest time for an answer on the own way.
+    pub longest_direct_timeout: Duration,
     /// Time for an answer through a peer beyond what the store itself waits.
     pub relay_timeout: Duration,
     /// Interval at which the own way is tried while it is blocked.
@@ -47,6 +50,7 @@
     fn default() -> Self {
         Self {
             direct_timeout: Duration::from_millis(500),
+            longest_direct_timeout: Duration::from_millis(1_500),
             relay_timeout: Duration::from_millis(600),
             probe_interval: Duration::from_millis(500),
         }
@@ -59,6 +63,8 @@
     /// When the first of the requests that failed in a row was sent.
     failing_since: Option<Instant>,
     tried_at: Option<Instant>,
+    /// Time for the next answer.
+    timeout: Duration,
 }
 
 /// The store, by the own way or through a peer; clones share the state.
@@ -133,6 +139,7 @@
                 way: Cell::new(Way {
                     failing_since: None,
                     tried_at: None,
+                    timeout: timings.direct_timeout,
                 }),
             }),
         }
@@ -187,10 +194,13 @@
             table: &*self.table,
             feed: &*self.feed,
         };
-        let limit = request.wait() + self.timings.direct_timeout;
+        let limit = request.wait() + way.timeout;
         let result = match compio::time::timeout(limit, direct.send(request)).await {
             Ok(result) => result,
-            Err(_) => Err(no_answer(request, limit)),
+            Err(_) => {
+                self.be_patient();
+                Err(no_answer(request, limit))
+            }
         };
         let failed = result.as_ref().is_err_and(|error| {
             matches!(
@@ -202,6 +212,13 @@
         result
     }
 
+    /// Gives the next answer more time.
+    fn be_patient(&self) {
+        let mut way = self.way.get();
+        way.timeout = (way.timeout * 2).min(self.timings.longest_direct_timeout);
+        self.way.set(way);
+    }
+
     /// Notes how a request that was sent on the own way at `sent_at` went.
     fn note(&self, sent_at: Instant, failed: bool) {
         let mut way = self.way.get();
@@ -209,6 +226,12 @@
             if way.failing_since.take().is_some() {
                 info!("the own way to the store works again");
             }
+            // Answers of a slow store come late by about the same time.
+            let took = clock::now().saturating_duration_since(sent_at);
+            way.timeout = (took * 3).clamp(
+                self.timings.direct_timeout,
+                self.timings.longest_direct_timeout,
+            );
         } else if way.failing_since.is_none() {
             warn!("the own way to the store fails, asking peers");
             way.failing_since = Some(sent_at);
--- a/crates/workload/src/spec.rs
+++ b/crates/workload/src/spec.rs
@@ -193,6 +193,34 @@
         if self.is_gang { self.tasks } else { 1 }
     }
 
+    /// Returns the number of tasks, the accelerators and cores of each, the estimate, and what is special.
+    fn summary(&self) -> String {
+        let mut text = format!(
+            "{}x{}a/{}c {}ms",
+            self.tasks,
+            self.demand.accelerators,
+            self.demand.milli_cores / 1000,
+            self.estimate_ms
+        );
+        let flags = [
+            (self.is_gang, " gang"),
+            (self.is_rack_sensitive, " rack"),
+            (self.data_rack.is_some(), " data"),
+            (self.required_label.is_some(), " label"),
+            (self.max_tasks_per_worker.is_some(), " apart"),
+            (self.is_speculative, " speculative"),
+            (self.is_lasting, " lasting"),
+            (self.has_checkpoints, " checkpoints"),
+            (self.is_filler, " filler"),
+        ];
+        for (is_set, word) in flags {
+            if is_set {
+                text.push_str(word);
+            }
+        }
+        text
+    }
+
     /// Returns what counts against the room of a worker for one task.
     #[must_use]
     pub fn booked(&self) -> Resources {
@@ -269,6 +297,13 @@
         self.steps.get(usize::try_from(index).ok()?)
     }
 
+    /// Returns the steps in a few words for logs, such as `3x8a/7c 4400ms gang rack`.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        let steps: Vec<String> = self.steps.iter().map(StepSpec::summary).collect();
+        steps.join("; ")
+    }
+
     /// Returns what is wrong with the job, if anything.
     ///
     /// # Errors
