Settle a new owner's view after 600 ms

Cause: a new owner waited 1.2 s for reports of workers with runs before its first decision, although peers answer within 100 ms on calm links.

--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -43,9 +43,9 @@
 /// Pause between two decisions, so that a burst of events leads to one.
 const PAUSE: Duration = Duration::from_millis(3);
 /// Time for which a new owner waits for the reports of workers that have runs.
-const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+const SETTLE_TIME: Duration = Duration::from_millis(600);
 /// Time for which a new owner waits for reports in any case.
-const FIRST_REPORTS: Duration = Duration::from_millis(400);
+const FIRST_REPORTS: Duration = Duration::from_millis(250);
 /// Time after which a stop that was taken and not followed by an end is repeated.
 const STOP_REPEAT: Duration = Duration::from_millis(1_000);
 /// Time for which the other members of a gang that is done may still be listed as running.
