--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -12,6 +12,11 @@
 use std::time::Instant;
 
 use compio::runtime::JoinHandle;
+use store::HostStore;
+use worker::FakePort;
+use worker::FakeWorker;
+use worker::Gangs;
+use worker::Watch;
 
 use nutmegwalk_assembly::AgentSettings;
 use nutmegwalk_assembly::DomainAgent;
@@ -44,12 +49,6 @@
 use nutmegwalk_workload::ServicePolicy;
 use nutmegwalk_workload::StepSpec;
 
-use store::HostStore;
-use worker::FakePort;
-use worker::FakeWorker;
-use worker::Gangs;
-use worker::Watch;
-
 /// Time after which a state that does not come about fails a test; far longer than it takes.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Time for a caller's request.
--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -8,6 +8,7 @@
 use common::gang;
 use common::job;
 use common::run;
+
 use nutmegwalk_workload::JobState;
 use nutmegwalk_workload::StepSpec;
 
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -1,11 +1,10 @@
 //! A simpler policy to compare with: arrival order, first workers with room.
 
-use nutmegwalk_workload::Resources;
-
 use crate::Plan;
 use crate::Snapshot;
 use crate::Start;
 use crate::WaitingStep;
+use nutmegwalk_workload::Resources;
 
 /// Decides by arrival order; nothing gives way and nothing is planned ahead.
 #[must_use]
--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -5,11 +5,10 @@
 
 use std::collections::BTreeMap;
 
-use nutmegwalk_base::RackId;
-
 use crate::Snapshot;
 use crate::WaitingStep;
 use crate::profile::Room;
+use nutmegwalk_base::RackId;
 
 /// A worker is not used when tasks take this many times as long there as elsewhere.
 const TOO_SLOW: f64 = 2.0;
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -5,8 +5,6 @@
 
 use std::collections::BTreeSet;
 
-use nutmegwalk_base::RackId;
-
 use crate::RunningUnit;
 use crate::Snapshot;
 use crate::WaitingStep;
@@ -14,6 +12,7 @@
 use crate::fit::Locality;
 use crate::fit::place;
 use crate::profile::Room;
+use nutmegwalk_base::RackId;
 
 /// Factor on the work lost with a victim whose job becomes late by it.
 const LATE_LOSS_FACTOR: f64 = 2.0;
--- a/crates/placement/src/profile.rs
+++ b/crates/placement/src/profile.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use nutmegwalk_workload::Resources;
-
 use crate::Snapshot;
+use nutmegwalk_workload::Resources;
 
 /// Free room of each worker, in the order of [`Snapshot::workers`].
 pub(crate) type Room = Vec<Resources>;
--- a/crates/placement/src/rank.rs
+++ b/crates/placement/src/rank.rs
@@ -8,10 +8,9 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use nutmegwalk_workload::Resources;
-
 use crate::Snapshot;
 use crate::WaitingStep;
+use nutmegwalk_workload::Resources;
 
 /// Time by which a step that takes the whole deployment counts as able to wait longer, in run times.
 const SIZE_WEIGHT: f64 = 12.0;
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::profile::STOPPING;
 use nutmegwalk_base::DataCentreId;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::RackId;
@@ -14,8 +15,6 @@
 use nutmegwalk_workload::TaskIndex;
 use nutmegwalk_workload::UnitId;
 
-use crate::profile::STOPPING;
-
 /// A worker at the moment of the decision. Workers are named by their position in [`Snapshot::workers`].
 #[derive(Clone, Debug)]
 pub struct WorkerView {
--- a/crates/placement/tests/common/load.rs
+++ b/crates/placement/tests/common/load.rs
@@ -7,6 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
 use nutmegwalk_placement::Plan;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
@@ -14,9 +18,6 @@
 use nutmegwalk_placement::WorkerView;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::UnitId;
-use rand::Rng;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 
 /// Cores that an accelerator counts as.
 const CORES_PER_ACCELERATOR: u64 = 8;
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -5,6 +5,7 @@
 use common::load::Outcome;
 use common::load::Scenario;
 use common::load::play;
+
 use nutmegwalk_placement::Plan;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::first_fit;
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -6,6 +6,7 @@
 
 use common::Scene;
 use common::step;
+
 use nutmegwalk_placement::WaitReason;
 use nutmegwalk_placement::plan;
 
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -5,6 +5,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Announcement;
+use crate::EndedTask;
+use crate::Refusal;
+use crate::RunningTask;
+use crate::TaskRun;
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::JobId;
@@ -17,12 +22,6 @@
 use nutmegwalk_workload::TaskIndex;
 use nutmegwalk_workload::WorkerRef;
 
-use crate::Announcement;
-use crate::EndedTask;
-use crate::Refusal;
-use crate::RunningTask;
-use crate::TaskRun;
-
 /// What an agent knows about its worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkerStatus {
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -6,14 +6,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use nutmegwalk_base::WorkerId;
-
 use crate::JobSpec;
 use crate::Occurrence;
 use crate::Run;
 use crate::StepIndex;
 use crate::TaskId;
 use crate::UnitId;
+use nutmegwalk_base::WorkerId;
 
 /// One life of a worker. A restarted worker may have the id of its predecessor, but not its start time.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
--- a/crates/workload/src/record.rs
+++ b/crates/workload/src/record.rs
@@ -6,13 +6,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::JobSpec;
+use crate::QueuePolicy;
 use nutmegwalk_base::ConfigVersion;
 use nutmegwalk_base::CustomerId;
 use nutmegwalk_base::JobId;
 
-use crate::JobSpec;
-use crate::QueuePolicy;
-
 /// Prefix of the keys of all rows of jobs.
 pub const JOB_PREFIX: &str = "job/";
 
--- a/crates/workload/src/spec.rs
+++ b/crates/workload/src/spec.rs
@@ -5,9 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use nutmegwalk_base::RackId;
-
 use crate::StepIndex;
+use nutmegwalk_base::RackId;
 
 /// Tasks that one job may have over all its steps; a longer list would not fit into one row of the store.
 pub const MAX_SPEC_TASKS: u32 = 8_192;
