Emulate the platform: workers, store, callers, operators and processes for tests

Cause: the adapter had no tests of its own, and the fake worker was part of one test file. Change: the worker model moves to crates/emulator, which knows no wire; platform/emulator serves it with the platform's names and starts the real programs as processes on loopback addresses of their own.

--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -2,9 +2,6 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-pub(crate) mod store;
-pub(crate) mod worker;
-
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -12,11 +9,6 @@
 use std::time::Instant;
 
 use compio::runtime::JoinHandle;
-use store::HostStore;
-use worker::FakePort;
-use worker::FakeWorker;
-use worker::Gangs;
-use worker::Watch;
 
 use nutmegwalk_assembly::AgentSettings;
 use nutmegwalk_assembly::DomainAgent;
@@ -29,6 +21,12 @@
 use nutmegwalk_base::Result;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_domain::DomainSettings;
+use nutmegwalk_emulator::EmulatedPort;
+use nutmegwalk_emulator::EmulatedStore;
+use nutmegwalk_emulator::EmulatedWorker;
+use nutmegwalk_emulator::Gangs;
+use nutmegwalk_emulator::Record;
+use nutmegwalk_emulator::WorkerSetup;
 use nutmegwalk_intake::Caller;
 use nutmegwalk_intake::IntakeSettings;
 use nutmegwalk_lease::Timing;
@@ -118,7 +116,7 @@
 
 /// One host with a worker.
 pub(crate) struct Host {
-    pub(crate) worker: Rc<FakeWorker>,
+    pub(crate) worker: Rc<EmulatedWorker>,
     name: Box<str>,
     process: RefCell<Option<(JoinHandle<()>, Drain)>>,
     heartbeats: RefCell<Option<JoinHandle<()>>>,
@@ -126,8 +124,8 @@
 
 /// A whole domain.
 pub(crate) struct Site {
-    pub(crate) store: HostStore,
-    pub(crate) watch: Watch,
+    pub(crate) store: EmulatedStore,
+    pub(crate) record: Record,
     pub(crate) hosts: Vec<Host>,
     pub(crate) entry: Rc<DomainEntry>,
     next_worker: Cell<usize>,
@@ -137,17 +135,17 @@
 impl Site {
     /// Starts a domain with `count` hosts and waits until it has an owner and all workers.
     pub(crate) async fn start(count: usize) -> Self {
-        let store = HostStore::new();
+        let store = EmulatedStore::new();
         let configuration = Transaction::new().with_put("op/config", "{1}");
         store.memory.apply(&configuration);
-        let watch = Watch::default();
+        let record = Record::default();
         let gangs = Gangs::default();
         let hosts = (0..count)
             .map(|number| Host {
-                worker: FakeWorker::new(
-                    number,
-                    &format!("r-{}", number / 3),
-                    watch.clone(),
+                worker: EmulatedWorker::new(
+                    setup(number),
+                    &format!("i-{number}"),
+                    record.clone(),
                     gangs.clone(),
                 ),
                 name: format!("agent-{number}").into(),
@@ -160,7 +158,7 @@
         let entry_task = compio::runtime::spawn(async move { running.run(Drain::new()).await });
         let site = Self {
             store,
-            watch,
+            record,
             hosts,
             entry,
             next_worker: Cell::new(count),
@@ -177,7 +175,7 @@
     /// Starts the agent of a host, and the heartbeats of its worker.
     pub(crate) async fn start_agent(&self, host: usize) {
         let host = &self.hosts[host];
-        let port = Rc::new(FakePort(Rc::clone(&host.worker)));
+        let port = Rc::new(EmulatedPort::new(Rc::clone(&host.worker)));
         let agent = DomainAgent::bind(
             agent_settings(&host.name),
             ports(&host.name, &self.store),
@@ -221,7 +219,7 @@
         for host in 0..self.hosts.len() {
             let number = self.next_worker.get();
             self.next_worker.set(number + 1);
-            self.hosts[host].worker.be_reborn(number);
+            self.hosts[host].worker.be_reborn(&format!("i-{number}"));
             self.start_agent(host).await;
         }
     }
@@ -284,7 +282,7 @@
     /// Waits until a task has begun this many times.
     pub(crate) async fn until_begun(&self, task: &str, times: usize) {
         self.until(&format!("{task} begins"), || {
-            self.watch.begun(task).len() >= times
+            self.record.begun(task).len() >= times
         })
         .await;
     }
@@ -308,12 +306,19 @@
 
     /// Fails the test if a task ran twice.
     pub(crate) fn check(&self) {
-        let violations = self.watch.violations();
+        let violations = self.record.violations();
         assert!(violations.is_empty(), "{violations:#?}");
     }
 }
 
-fn ports(name: &str, store: &HostStore) -> Ports {
+fn setup(number: usize) -> WorkerSetup {
+    let rack = format!("r-{}", number / 3);
+    let mut setup = WorkerSetup::new(&format!("m-{number}"), "plank-desk", "ventspils", &rack);
+    setup.max_lease = MAX_LEASE;
+    setup
+}
+
+fn ports(name: &str, store: &EmulatedStore) -> Ports {
     let client = Client::new(name, Secret::new("")).expect("a client");
     Ports::new(
         Rc::new(store.clone()),
--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -25,7 +25,7 @@
         spec.steps.push(second);
         site.submit("normal", "a", spec).await;
         site.until_state("normal", "a", JobState::Completed).await;
-        assert_eq!(site.watch.begun("a.0.1.2").len(), 1);
+        assert_eq!(site.record.begun("a.0.1.2").len(), 1);
         site.check();
     }
 
@@ -41,7 +41,7 @@
         site.store.refuses_progress.set(false);
         site.restore_power().await;
         site.until_state("normal", "a", JobState::Completed).await;
-        assert_eq!(site.watch.begun("a.0.0.0").len(), 2);
+        assert_eq!(site.record.begun("a.0.0.0").len(), 2);
         site.check();
     }
 
@@ -70,7 +70,7 @@
         site.store.refuses_progress.set(false);
         site.until_state("urgent", "b", JobState::Completed).await;
         site.until_state("normal", "a", JobState::Completed).await;
-        let run = site.watch.begun("a.0.0.0").pop().expect("a run");
+        let run = site.record.begun("a.0.0.0").pop().expect("a run");
         assert_eq!(run.run, 2, "the first run was displaced");
         site.check();
     }
@@ -85,7 +85,7 @@
         site.start_agent(owner).await;
         site.until_state("normal", "a", JobState::Completed).await;
         for task in ["a.0.0.0", "a.0.0.1", "a.0.0.2"] {
-            assert_eq!(site.watch.begun(task).len(), 1, "{task}");
+            assert_eq!(site.record.begun(task).len(), 1, "{task}");
         }
         site.check();
     }
@@ -94,12 +94,12 @@
     late_start_does_not_run_twice => {
         let site = Site::start(2).await;
         for host in &site.hosts {
-            host.worker.late_by.set(Some(Duration::from_millis(1_500)));
+            host.worker.faults.late_by.set(Some(Duration::from_millis(1_500)));
         }
         site.submit("normal", "a", job(1, 1_000)).await;
         compio::time::sleep(Duration::from_millis(1_000)).await;
         for host in &site.hosts {
-            host.worker.late_by.set(None);
+            host.worker.faults.late_by.set(None);
         }
         site.until_state("normal", "a", JobState::Completed).await;
         compio::time::sleep(Duration::from_millis(1_500)).await;
@@ -124,6 +124,6 @@
         spec.payload = "work=50 fail".into();
         site.submit("normal", "a", spec).await;
         site.until_state("normal", "a", JobState::Failed).await;
-        assert_eq!(site.watch.begun("a.0.0.0").len(), 2);
+        assert_eq!(site.record.begun("a.0.0.0").len(), 2);
     }
 }
--- a/crates/assembly/tests/common/store.rs
+++ b/crates/emulator/src/store.rs
@@ -1,4 +1,4 @@
-//! A store in memory that can be down, for one host or for all.
+//! A store in memory that can be down, or refuse some writes.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -23,23 +23,22 @@
 use nutmegwalk_store::TransactionOutcome;
 use nutmegwalk_store::Write;
 
-/// One host's way to the store.
-#[derive(Clone)]
-pub(crate) struct HostStore {
-    pub(crate) memory: Rc<MemoryStore>,
+/// A store with faults; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct EmulatedStore {
+    /// The rows.
+    pub memory: Rc<MemoryStore>,
     /// Nobody is answered while this is set.
-    pub(crate) is_down: Rc<Cell<bool>>,
+    pub is_down: Rc<Cell<bool>>,
     /// Writes of jobs' progress are refused while this is set.
-    pub(crate) refuses_progress: Rc<Cell<bool>>,
+    pub refuses_progress: Rc<Cell<bool>>,
 }
 
-impl HostStore {
-    pub(crate) fn new() -> Self {
-        Self {
-            memory: Rc::new(MemoryStore::new()),
-            is_down: Rc::default(),
-            refuses_progress: Rc::default(),
-        }
+impl EmulatedStore {
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
     }
 
     fn check(&self) -> Result<()> {
@@ -50,7 +49,7 @@
     }
 }
 
-impl TableStore for HostStore {
+impl TableStore for EmulatedStore {
     fn transact<'a>(
         &'a self,
         transaction: &'a Transaction,
@@ -90,7 +89,7 @@
     }
 }
 
-impl ChangeFeed for HostStore {
+impl ChangeFeed for EmulatedStore {
     fn page<'a>(
         &'a self,
         prefix: &'a str,
@@ -120,7 +119,7 @@
     }
 }
 
-impl ObjectStore for HostStore {
+impl ObjectStore for EmulatedStore {
     fn put_object<'a>(&'a self, name: &'a str, content: Bytes) -> LocalBoxFuture<'a, Result<()>> {
         async move {
             self.check()?;
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -113,6 +113,11 @@
             .collect()
     }
 
+    /// Returns the newest version.
+    pub fn version(&self) -> RowVersion {
+        self.state.borrow().last_version
+    }
+
     /// Drops the history of changes; followers have to read everything again.
     pub fn forget_history(&self) {
         let mut state = self.state.borrow_mut();
