Write logs by events, bounded and without blocking

Cause: log lines went through a blocking appender to standard error, without a bound and without a stable name to search for. Change: each line names an event of one closed list; lines go through a bounded queue that a thread writes to standard output, each event has at most 100 lines a second, and dropped lines are counted and told.

--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -19,6 +19,7 @@
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_base::new_incarnation;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_domain::DomainOwner;
@@ -178,22 +179,22 @@
     pub async fn run(self, stop: Drain) {
         let Self { shared, server } = self;
         let name = &*shared.settings.name;
-        info!(process = name, address:% = shared.address, incarnation = shared.incarnation; "agent started");
+        info!(target: event::PROCESS_STARTED, process = name, address:% = shared.address, incarnation = shared.incarnation; "");
         let served = compio::runtime::spawn(server.serve(Rc::clone(&shared), shared.drain.clone()));
         let tasks = shared.spawn_duties();
         stop.started().await;
-        info!(process = name, owner = shared.owner.is_serving(); "agent is stopping");
+        info!(target: event::PROCESS_STOPPING, process = name, owner = shared.owner.is_serving(); "");
         if shared.contending.borrow().is_some()
             && let Err(error) = shared.ownership.release().await
         {
-            warn!(process = name; "{error}");
+            warn!(target: event::LEASE_PROBLEM, process = name; "{error}");
         }
         drop(tasks);
         shared.drain.start();
         if compio::time::timeout(STOP_LIMIT, served).await.is_err() {
-            warn!(process = name; "answers in flight are given up");
+            warn!(target: event::ANSWERS_GIVEN_UP, process = name; "answers in flight are given up");
         }
-        info!(process = name; "agent stopped");
+        info!(target: event::PROCESS_STOPPED, process = name; "");
     }
 }
 
@@ -218,7 +219,7 @@
             match self.report_once().await {
                 Ok(()) => {
                     if is_failing {
-                        info!(epoch = self.supervisor.epoch(); "the owner answers again");
+                        info!(target: event::OWNER_REGAINED, epoch = self.supervisor.epoch(); "");
                     }
                     is_failing = false;
                     // Running into the limit is the usual case.
@@ -230,7 +231,7 @@
                 }
                 Err(error) => {
                     if !is_failing {
-                        warn!(epoch = self.supervisor.epoch(); "cannot report to the owner: {error}");
+                        warn!(target: event::OWNER_LOST, epoch = self.supervisor.epoch(); "cannot report to the owner: {error}");
                     }
                     is_failing = true;
                     if error.kind == ErrorKind::StaleEpoch {
--- a/crates/assembly/src/entry.rs
+++ b/crates/assembly/src/entry.rs
@@ -14,6 +14,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::event;
 use nutmegwalk_intake::Caller;
 use nutmegwalk_intake::Intake;
 use nutmegwalk_intake::IntakeSettings;
@@ -86,10 +87,10 @@
     /// The caller stops its servers when this returns.
     pub async fn run(&self, stop: Drain) {
         let name = &*self.settings.name;
-        info!(process = name; "entry host started");
+        info!(target: event::PROCESS_STARTED, process = name; "");
         let tasks = self.spawn_followers();
         stop.started().await;
-        info!(process = name; "entry host is leaving");
+        info!(target: event::PROCESS_STOPPING, process = name; "");
         self.is_leaving.set(true);
         compio::time::sleep(self.settings.leave_notice).await;
         drop(tasks);
@@ -165,7 +166,7 @@
             }
             Err(error) => {
                 if !is_failing {
-                    warn!("cannot learn of peers: {error}");
+                    warn!(target: event::PEERS_UNKNOWN, "cannot learn of peers: {error}");
                 }
                 is_failing = true;
                 PEERS_RETRY
--- a/crates/assembly/src/locator.rs
+++ b/crates/assembly/src/locator.rs
@@ -9,6 +9,7 @@
 use log::debug;
 
 use nutmegwalk_base::Epoch;
+use nutmegwalk_base::event;
 use nutmegwalk_lease::OwnerRow;
 use nutmegwalk_lease::Ownership;
 use nutmegwalk_lease::owner_key;
@@ -76,14 +77,16 @@
         let rows = match self.store.get(Duty::Ownership, &keys, READ_DEADLINE).await {
             Ok(rows) => rows,
             Err(error) => {
-                debug!("cannot read who owns the domain: {error}");
+                debug!(target: event::OWNER_LOST, "cannot read who owns the domain: {error}");
                 return;
             }
         };
         if let Some(row) = rows.into_iter().flatten().next() {
             match serde_json::from_str(&row.value) {
                 Ok(row) => self.learn(row),
-                Err(error) => log::error!("the lease row cannot be read: {error}"),
+                Err(error) => {
+                    log::error!(target: event::ROW_UNREADABLE, "the lease row cannot be read: {error}")
+                }
             }
         }
     }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backoff;
 pub mod clock;
 pub mod error;
+pub mod event;
 pub mod ids;
 pub mod logging;
 pub mod metrics;
--- a/crates/domain/src/cleanup.rs
+++ b/crates/domain/src/cleanup.rs
@@ -9,6 +9,7 @@
 use crate::term::Term;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_store::Duty;
 use nutmegwalk_workload::JobRow;
 
@@ -61,13 +62,15 @@
             .await
         {
             Ok(_) => {
-                info!(jobs = ids.len(); "ended jobs deleted");
+                info!(target: event::JOBS_DELETED, jobs = ids.len(); "");
                 let mut state = self.state.borrow_mut();
                 for id in ids {
                     state.jobs.remove(id);
                 }
             }
-            Err(error) => warn!("cannot delete ended jobs: {error}"),
+            Err(error) => {
+                warn!(target: event::PROGRESS_NOT_STORED, "cannot delete ended jobs: {error}")
+            }
         }
     }
 }
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -14,6 +14,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::OrdersAnswer;
 use nutmegwalk_supervisor::Refusal;
@@ -84,7 +85,7 @@
                 let is_first = known.unreachable_since.is_none();
                 known.unreachable_since.get_or_insert_with(clock::now);
                 if is_first {
-                    warn!(worker = &*worker.id, agent = &*known.agent; "cannot give orders: {error}");
+                    warn!(target: event::ORDERS_NOT_GIVEN, worker = &*worker.id, agent = &*known.agent; "cannot give orders: {error}");
                 }
                 drop(state);
                 error.kind == ErrorKind::StaleEpoch
@@ -165,12 +166,12 @@
                 });
             }
             TaskOutcome::Refused(refusal) => {
-                info!(
+                info!(target: event::START_REFUSED,
                     task:% = result.run.task,
                     run = result.run.run,
                     worker = &*worker.id,
                     reason = refusal.name();
-                    "start refused"
+                    ""
                 );
                 if matches!(refusal, Refusal::Unhealthy | Refusal::Malformed) {
                     self.note_failure(worker);
@@ -178,7 +179,7 @@
                 self.apply_end(worker, &result.run, EndKind::Lost, None);
             }
             TaskOutcome::Unknown | TaskOutcome::Absent => {
-                warn!(
+                warn!(target: event::START_UNANSWERED,
                     task:% = result.run.task,
                     run = result.run.run,
                     worker = &*worker.id;
@@ -220,7 +221,7 @@
         if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
             && known.health.failed(clock::now())
         {
-            warn!(worker = &*worker.id; "worker set aside: it does not take orders");
+            warn!(target: event::WORKER_SET_ASIDE, worker = &*worker.id; "worker set aside: it does not take orders");
         }
     }
 
--- a/crates/domain/src/journal.rs
+++ b/crates/domain/src/journal.rs
@@ -15,6 +15,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_store::Condition;
 use nutmegwalk_store::Duty;
 use nutmegwalk_store::RowVersion;
@@ -71,7 +72,7 @@
                     if self.has_ended() {
                         break;
                     }
-                    warn!(job = &**id; "cannot store progress: {error}");
+                    warn!(target: event::PROGRESS_NOT_STORED, job = &**id; "cannot store progress: {error}");
                     compio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -101,7 +102,7 @@
         let value = match serde_json::to_string(&job.progress) {
             Ok(value) => value,
             Err(error) => {
-                error!(job = &**id; "cannot encode progress: {error}");
+                error!(target: event::PROGRESS_NOT_STORED, job = &**id; "cannot encode progress: {error}");
                 return None;
             }
         };
@@ -164,7 +165,7 @@
             .iter()
             .any(|key| *key != progress_key && *key != write.cancelled_key)
         {
-            warn!(job = &**id, epoch = self.epoch(); "another process has become the owner");
+            warn!(target: event::PROGRESS_NOT_STORED, job = &**id, epoch = self.epoch(); "another process has become the owner");
             return false;
         }
         if failed_keys.contains(&write.cancelled_key) {
@@ -184,11 +185,11 @@
                     }
                 }
                 Err(error) if error.kind == ErrorKind::StoreUnavailable => {
-                    warn!(job = &**id; "cannot read progress back: {error}");
+                    warn!(target: event::PROGRESS_NOT_STORED, job = &**id; "cannot read progress back: {error}");
                     compio::time::sleep(RETRY_PAUSE).await;
                 }
                 Err(error) => {
-                    warn!(job = &**id; "cannot read progress back: {error}");
+                    warn!(target: event::PROGRESS_NOT_STORED, job = &**id; "cannot read progress back: {error}");
                     return false;
                 }
             }
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -16,6 +16,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_lease::Held;
 use nutmegwalk_lease::Ownership;
@@ -126,7 +127,7 @@
     /// Carries out one term.
     async fn serve(&self, held: Held) {
         self.terms.set(self.terms.get() + 1);
-        info!(domain = &*self.settings.domain, epoch = held.epoch; "term begins");
+        info!(target: event::TERM_BEGUN, domain = &*self.settings.domain, epoch = held.epoch; "");
         let policy = PolicyView::new(Rc::clone(&self.feed), Rc::clone(&self.rows));
         let wake = Signal::new();
         policy.subscribe(wake.clone());
@@ -161,7 +162,7 @@
             drop(task);
         }
         *self.term.borrow_mut() = None;
-        info!(domain = &*self.settings.domain, epoch = held.epoch; "term ends");
+        info!(target: event::TERM_ENDED, domain = &*self.settings.domain, epoch = held.epoch; "");
     }
 
     fn is_released(&self, held: &Held) -> bool {
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -20,6 +20,7 @@
 use nutmegwalk_base::CustomerId;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::Start;
@@ -105,7 +106,7 @@
             self.lose_worker(&worker, "nothing was heard for longer than its lease lasts");
         }
         for (unit, run) in self.late_runs(now) {
-            warn!(unit:% = unit, run = run; "the run did not start in time on all workers, stopping it");
+            warn!(target: event::RUN_LATE, unit:% = unit, run = run; "the run did not start in time on all workers, stopping it");
             self.stop_run(&unit, run);
         }
         self.repeat_stops(now);
@@ -208,13 +209,13 @@
     }
 
     fn preempt(&self, victim: &RunningUnit, beneficiary: &WaitingStep) {
-        info!(
+        info!(target: event::RUN_DISPLACED,
             unit:% = victim.unit,
             run = victim.run,
             beneficiary = &*beneficiary.job,
             loss_core_s = victim.loss_core_s,
             beneficiary_guaranteed = beneficiary.is_guaranteed;
-            "preempted"
+            ""
         );
         self.stop_run(&victim.unit, victim.run);
     }
@@ -246,7 +247,7 @@
         let places: Vec<String> = seats()
             .map(|(task, worker)| format!("{task}@{}", worker.id))
             .collect();
-        info!(
+        info!(target: event::TASKS_PLACED,
             job = &*step.job,
             occurrence = step.occurrence,
             step = step.step,
@@ -256,7 +257,7 @@
             slack_ms = as_ms(step.slack()),
             priority = step.priority,
             guaranteed = step.is_guaranteed;
-            "placed"
+            ""
         );
         state.touch(&step.job);
     }
@@ -271,7 +272,7 @@
         if job.waits.insert(key, waiting.reason) == Some(waiting.reason) {
             return;
         }
-        info!(
+        info!(target: event::TASKS_WAIT,
             job = &*step.job,
             occurrence = step.occurrence,
             step = step.step,
@@ -281,7 +282,7 @@
             slack_ms = as_ms(step.slack()),
             priority = step.priority,
             guaranteed = step.is_guaranteed;
-            "waits"
+            ""
         );
     }
 
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -11,6 +11,7 @@
 use crate::term::Term;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_store::Change;
 use nutmegwalk_store::Replica;
 use nutmegwalk_store::Row;
@@ -39,7 +40,9 @@
             Some((id, JobRow::Cancelled)) => self.cancelled(&id),
             // Within a term only the owner itself writes progress.
             Some((_, JobRow::Progress)) => {}
-            None => info!(key = &*row.key; "a row that is not a job's is left alone"),
+            None => {
+                info!(target: event::ROW_UNKNOWN, key = &*row.key; "a row that is not a job's is left alone")
+            }
         }
     }
 
@@ -50,7 +53,7 @@
         let record: JobRecord = match serde_json::from_str(&row.value) {
             Ok(record) => record,
             Err(error) => {
-                error!(job = &**id; "an accepted job cannot be read: {error}");
+                error!(target: event::ROW_UNREADABLE, job = &**id; "an accepted job cannot be read: {error}");
                 return;
             }
         };
@@ -66,14 +69,14 @@
         } else {
             Duration::from_millis(age_ms).min(Duration::from_secs(600))
         };
-        info!(
+        info!(target: event::JOB_TAKEN_IN,
             job = &**id,
             queue = &*record.queue,
             customer = record.customer.as_deref().unwrap_or(""),
             config_version = record.config_version,
             steps = record.spec.summary().as_str(),
             age_ms = crate::term::as_ms(age);
-            "job taken in"
+            ""
         );
         let job = Job::new(record, now.checked_sub(age).unwrap_or(now));
         self.term.state.borrow_mut().jobs.insert(id.clone(), job);
@@ -95,7 +98,7 @@
         let progress: JobProgress = match serde_json::from_str(&row.value) {
             Ok(progress) => progress,
             Err(error) => {
-                error!(job = &**id; "the progress of a job cannot be read: {error}");
+                error!(target: event::ROW_UNREADABLE, job = &**id; "the progress of a job cannot be read: {error}");
                 return;
             }
         };
@@ -136,7 +139,7 @@
                 .jobs
                 .values()
                 .filter(|job| !job.progress.state.is_final());
-            info!(epoch = self.term.epoch(), jobs = state.jobs.len(), open = open.count(); "jobs read");
+            info!(target: event::JOBS_READ, epoch = self.term.epoch(), jobs = state.jobs.len(), open = open.count(); "");
             self.term.is_loaded.set(true);
         }
         self.term.flush();
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -20,6 +20,7 @@
 use crate::worker::Worker;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_placement::WorkerHealth;
 use nutmegwalk_supervisor::Report;
@@ -123,10 +124,10 @@
                 unreachable_since: None,
             });
         if entry.announcement.state != status.announcement.state {
-            info!(
+            info!(target: event::WORKER_STATE,
                 worker = &*worker.id,
                 state:? = status.announcement.state;
-                "worker changed its state"
+                ""
             );
         }
         entry.announcement = status.announcement.clone();
@@ -136,13 +137,13 @@
             .answer_age_ms
             .and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)));
         if is_new {
-            info!(
+            info!(target: event::WORKER_JOINED,
                 worker = &*worker.id,
                 born_unix_ms = worker.born_unix_ms,
                 agent = &*report.agent,
                 data_centre = &*status.announcement.data_centre,
                 rack = status.announcement.rack.as_deref().unwrap_or("");
-                "worker joined"
+                ""
             );
             drop(state);
             self.serve_worker(worker.clone());
@@ -219,7 +220,7 @@
         let is_news = strays.keys().any(|run| !known.strays.contains_key(run));
         if is_news {
             for run in strays.keys() {
-                warn!(task:% = run.task, run = run.run, worker = &*worker.id; "a run that is not wanted is there");
+                warn!(target: event::RUN_UNWANTED, task:% = run.task, run = run.run, worker = &*worker.id; "a run that is not wanted is there");
             }
             known.orders.raise();
         }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -24,6 +24,7 @@
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::WorkerId;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_lease::Held;
 use nutmegwalk_lease::Ownership;
@@ -160,7 +161,7 @@
         } else {
             Level::Info
         };
-        log!(
+        log!(target: event::RUN_ENDED,
             level,
             job = &*job_id,
             task:% = ended.task,
@@ -168,7 +169,7 @@
             worker = &*worker.id,
             kind:? = kind,
             effect:? = effect;
-            "end"
+            ""
         );
         let live = job.units.entry(unit.clone()).or_default();
         let mut run_time = None;
@@ -206,7 +207,7 @@
                 if let Some(worker) = state.workers.get_mut(&worker.id)
                     && worker.health.failed(now)
                 {
-                    warn!(worker = &*worker.announcement.worker.id; "worker set aside after failures in a row");
+                    warn!(target: event::WORKER_SET_ASIDE, worker = &*worker.announcement.worker.id; "worker set aside after failures in a row");
                 }
                 if is_exhausted {
                     job.progress.end(JobState::Failed);
@@ -255,12 +256,12 @@
             job.ended_at = Some(now);
             job.progress.ended_unix_ms = Some(self.wall.unix_ms());
             let age = now.saturating_duration_since(job.accepted_at);
-            info!(
+            info!(target: event::JOB_ENDED,
                 job = &**id,
                 queue = &*job.record.queue,
                 state:? = job.progress.state,
                 age_ms = as_ms(age);
-                "job ended"
+                ""
             );
         }
     }
@@ -275,7 +276,7 @@
         if job.progress.state.is_final() {
             return;
         }
-        info!(job = &**id, state:? = job.progress.state; "cancelled");
+        info!(target: event::JOB_CANCELLED, job = &**id, state:? = job.progress.state; "");
         job.progress.end(JobState::Cancelled);
         job.stop_all();
         let workers = job
@@ -305,7 +306,7 @@
             }
         }
         if !lost.is_empty() {
-            warn!(worker = &*worker.id, born_unix_ms = worker.born_unix_ms, runs = lost.len(); "runs lost: {why}");
+            warn!(target: event::RUNS_LOST, worker = &*worker.id, born_unix_ms = worker.born_unix_ms, runs = lost.len(); "runs lost: {why}");
         }
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -7,13 +7,17 @@
 
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::logging;
+use nutmegwalk_base::logging::LogTarget;
 use nutmegwalk_node::Entry;
 use nutmegwalk_node::NodeOptions;
 use nutmegwalk_node::settings::EntrySettings;
 use nutmegwalk_node::shutdown;
 
 fn main() -> ExitCode {
-    match run() {
+    let result = run();
+    log::logger().flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("nutmegwalk-entry: {report:#}");
@@ -28,7 +32,7 @@
 fn run() -> eyre::Result<()> {
     let settings = EntrySettings::parse();
     settings.check()?;
-    nutmegwalk_base::logging::start(settings.common.log_level)?;
+    logging::start(settings.common.log_level, LogTarget::Stdout)?;
     let runtime = compio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
     runtime.block_on(async {
         let entry = Entry::bind(settings, NodeOptions::new()).await?;
--- a/crates/entry/tests/daemon.rs
+++ b/crates/entry/tests/daemon.rs
@@ -44,8 +44,8 @@
 /// Waits until the daemon's log shows `text`.
 fn wait_for_log(child: &mut Child, text: &str) {
     use std::io::BufRead;
-    let stderr = child.stderr.take().unwrap();
-    let found = std::io::BufReader::new(stderr)
+    let stdout = child.stdout.take().unwrap();
+    let found = std::io::BufReader::new(stdout)
         .lines()
         .any(|line| line.unwrap().contains(text));
     assert!(found, "the log ended without `{text}`");
@@ -77,7 +77,7 @@
 
     // Guards against a daemon that ignores SIGTERM, also while the store does not answer.
     sigterm_is_a_graceful_stop => {
-        let mut child = command("127.0.0.1:0").stderr(Stdio::piped()).spawn().unwrap();
+        let mut child = command("127.0.0.1:0").stdout(Stdio::piped()).spawn().unwrap();
         wait_for_log(&mut child, "entry host started");
         let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
         assert!(killed.success());
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -12,6 +12,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_store::Duty;
 use nutmegwalk_store::StoreClient;
 use nutmegwalk_store::Transaction;
@@ -97,13 +98,13 @@
             .await;
         match outcome {
             Ok(TransactionOutcome::Committed { version }) => {
-                info!(
+                info!(target: event::JOB_ACCEPTED,
                     job = id,
                     queue = &*record.queue,
                     customer = record.customer.as_deref().unwrap_or(""),
                     config_version = record.config_version,
                     row_version = version;
-                    "accepted"
+                    ""
                 );
                 self.view.note_accepted(id, &record);
                 Ok(())
@@ -116,7 +117,7 @@
                 }
             },
             Err(error) => {
-                warn!(job = id, queue = &*record.queue, outcome = error.outcome().name(); "not accepted: {error}");
+                warn!(target: event::JOB_NOT_ACCEPTED, job = id, queue = &*record.queue, outcome = error.outcome().name(); "not accepted: {error}");
                 Err(error)
             }
         }
@@ -127,7 +128,7 @@
             let detail = format!("job {id} belongs to another customer");
             return Err(Error::new(ErrorKind::Forbidden, detail));
         }
-        info!(job = id; "accepted before");
+        info!(target: event::JOB_KNOWN, job = id; "");
         Ok(())
     }
 
@@ -166,12 +167,12 @@
         match outcome {
             // A rejection means that the wish is there already.
             Ok(_) => {
-                info!(job = id; "cancel stored");
+                info!(target: event::CANCEL_STORED, job = id; "");
                 self.view.note_cancelled(id);
                 Ok(())
             }
             Err(error) => {
-                warn!(job = id, outcome = error.outcome().name(); "not cancelled: {error}");
+                warn!(target: event::CANCEL_NOT_STORED, job = id, outcome = error.outcome().name(); "not cancelled: {error}");
                 Err(error)
             }
         }
--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -9,6 +9,7 @@
 
 use nutmegwalk_base::CustomerId;
 use nutmegwalk_base::JobId;
+use nutmegwalk_base::event;
 use nutmegwalk_store::Change;
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Follower;
@@ -145,7 +146,9 @@
         if kind == JobRow::Accepted {
             match serde_json::from_str::<JobRecord>(&row.value) {
                 Ok(record) => self.add(&id, &record),
-                Err(error) => error!(job = &*id; "an accepted job cannot be read: {error}"),
+                Err(error) => {
+                    error!(target: event::ROW_UNREADABLE, job = &*id; "an accepted job cannot be read: {error}")
+                }
             }
             return;
         }
@@ -163,7 +166,9 @@
                     job.progress_version = row.version;
                     job.progress_state = progress.state;
                 }
-                Err(error) => error!(job = &*id; "the progress of a job cannot be read: {error}"),
+                Err(error) => {
+                    error!(target: event::ROW_UNREADABLE, job = &*id; "the progress of a job cannot be read: {error}")
+                }
             }
         }
     }
--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -19,6 +19,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_base::new_incarnation;
 use nutmegwalk_store::Duty;
 use nutmegwalk_store::Row;
@@ -179,7 +180,7 @@
                 state.observe(row, epoch_row_version, now);
             }
             Err(error) => {
-                warn!("cannot read the lease of {}: {error}", self.duty);
+                warn!(target: event::LEASE_PROBLEM, "cannot read the lease of {}: {error}", self.duty);
                 self.pause().await;
             }
         }
@@ -193,7 +194,7 @@
         let failure = outcome.as_ref().err().cloned();
         self.state.borrow_mut().finish_write(outcome, clock::now());
         if let Some(error) = failure {
-            warn!("cannot write the lease of {}: {error}", self.duty);
+            warn!(target: event::LEASE_PROBLEM, "cannot write the lease of {}: {error}", self.duty);
             self.pause().await;
         }
     }
@@ -212,8 +213,10 @@
             .map(|held| held.epoch);
         if self.reported.replace(epoch) != epoch {
             match epoch {
-                Some(epoch) => info!("holding the lease of {} with epoch {epoch}", self.duty),
-                None => info!("not holding the lease of {}", self.duty),
+                Some(epoch) => {
+                    info!(target: event::LEASE_HELD, duty = &*self.duty, epoch = epoch; "")
+                }
+                None => info!(target: event::LEASE_ENDED, duty = &*self.duty; ""),
             }
         }
     }
--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -12,6 +12,7 @@
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::event;
 use nutmegwalk_store::RowVersion;
 use nutmegwalk_store::StoreClock;
 use nutmegwalk_store::Transaction;
@@ -324,7 +325,7 @@
 
     fn end_term(&mut self, now: Instant) {
         if self.current(now).is_some() {
-            warn!("the row of {} was changed during a lease", self.duty);
+            warn!(target: event::LEASE_PROBLEM, "the row of {} was changed during a lease", self.duty);
         }
         self.term = None;
     }
@@ -354,7 +355,7 @@
         let value = match serde_json::to_string(&row) {
             Ok(value) => value,
             Err(error) => {
-                warn!("cannot encode the row of {}: {error}", self.duty);
+                warn!(target: event::LEASE_PROBLEM, "cannot encode the row of {}: {error}", self.duty);
                 return Step::Sleep(self.timing.poll_every);
             }
         };
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -38,6 +38,7 @@
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::event;
 use nutmegwalk_base::new_id;
 use nutmegwalk_base::secret::Secret;
 
@@ -251,14 +252,14 @@
             let (stream, peer) = match accepted {
                 Ok(connection) => connection,
                 Err(error) => {
-                    warn!("cannot accept a connection: {error}");
+                    warn!(target: event::CONNECTION_REFUSED, "cannot accept a connection: {error}");
                     // Accepting fails when file descriptors run out; a pause lets some close.
                     compio::time::sleep(Duration::from_millis(20)).await;
                     continue;
                 }
             };
             if connections.in_flight() >= self.limits.max_connections {
-                debug!("closing a connection of {peer}: too many connections");
+                debug!(target: event::CONNECTION_REFUSED, "closing a connection of {peer}: too many connections");
                 continue;
             }
             let open = connections.enter();
@@ -317,7 +318,7 @@
         }
     };
     if let Err(error) = finished {
-        debug!("connection of {peer} ended: {error}");
+        debug!(target: event::CONNECTION_ENDED, "connection of {peer} ended: {error}");
     }
 }
 
--- a/crates/net/src/shutdown.rs
+++ b/crates/net/src/shutdown.rs
@@ -6,6 +6,7 @@
 use log::warn;
 
 use crate::Drain;
+use nutmegwalk_base::event;
 
 /// Number of the signal by which an init system asks a process to stop.
 const SIGTERM: i32 = 15;
@@ -22,7 +23,7 @@
             match compio::signal::unix::signal(SIGHUP).await {
                 Ok(()) => reload(),
                 Err(error) => {
-                    warn!("cannot wait for SIGHUP: {error}");
+                    warn!(target: event::SIGNALS_LOST, "cannot wait for SIGHUP: {error}");
                     return;
                 }
             }
@@ -41,7 +42,7 @@
         let interrupt = pin!(compio::signal::unix::signal(SIGINT));
         let (received, _) = select(terminate, interrupt).await.factor_first();
         if let Err(error) = received {
-            warn!("cannot wait for signals: {error}");
+            warn!(target: event::SIGNALS_LOST, "cannot wait for signals: {error}");
             std::future::pending::<()>().await;
         }
         stop.start();
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -13,6 +13,7 @@
 use crate::OperatorRows;
 use crate::Subject;
 use nutmegwalk_base::DataCentreId;
+use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_store::Change;
 use nutmegwalk_store::ChangeFeed;
@@ -100,22 +101,22 @@
             Subject::Configuration => match self.rows.configuration(&row.value) {
                 Ok(configuration) => self.adopt(configuration),
                 Err(error) => {
-                    error!(key = &*row.key, version = row.version; "the configuration is not used: {error}");
+                    error!(target: event::CONFIG_REJECTED, key = &*row.key, version = row.version; "the configuration is not used: {error}");
                 }
             },
             Subject::OutOfService(data_centre) => {
                 let mut out = self.out_of_service.borrow_mut();
                 if out.insert(data_centre.clone()) {
-                    info!(data_centre = &*data_centre, version = row.version; "data centre taken out of service");
+                    info!(target: event::DATA_CENTRE_TAKEN_OUT, data_centre = &*data_centre, version = row.version; "");
                 }
             }
             Subject::Wave(number) => match self.rows.wave(&row.value) {
                 Ok(wave) => {
-                    info!(wave = number, version = row.version; "wave of maintenance requested");
+                    info!(target: event::WAVE_REQUESTED, wave = number, version = row.version; "");
                     self.waves.borrow_mut().insert(number, wave);
                 }
                 Err(error) => {
-                    error!(key = &*row.key, version = row.version; "the wave is not used: {error}");
+                    error!(target: event::WAVE_REJECTED, key = &*row.key, version = row.version; "the wave is not used: {error}");
                 }
             },
             Subject::Other => {}
@@ -126,7 +127,7 @@
         match self.rows.subject(key) {
             Subject::OutOfService(data_centre) => {
                 if self.out_of_service.borrow_mut().remove(&data_centre) {
-                    info!(data_centre = &*data_centre; "data centre returned to service");
+                    info!(target: event::DATA_CENTRE_RETURNED, data_centre = &*data_centre; "");
                 }
             }
             Subject::Wave(number) => {
@@ -140,10 +141,10 @@
     fn adopt(&self, configuration: JobConfiguration) {
         let mut current = self.configuration.borrow_mut();
         if configuration.version > current.version {
-            info!(
+            info!(target: event::CONFIG_APPLIED,
                 version = configuration.version,
                 before = current.version;
-                "configuration in force"
+                ""
             );
             *current = Rc::new(configuration);
         }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -18,6 +18,7 @@
 use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_net::Client;
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Changes;
@@ -224,7 +225,7 @@
         let mut way = self.way.get();
         if !failed {
             if way.failing_since.take().is_some() {
-                info!("the own way to the store works again");
+                info!(target: event::STORE_REGAINED, "the own way to the store works again");
             }
             // Answers of a slow store come late by about the same time.
             let took = clock::now().saturating_duration_since(sent_at);
@@ -233,7 +234,7 @@
                 self.timings.longest_direct_timeout,
             );
         } else if way.failing_since.is_none() {
-            warn!("the own way to the store fails, asking peers");
+            warn!(target: event::STORE_LOST, "the own way to the store fails, asking peers");
             way.failing_since = Some(sent_at);
         }
         self.way.set(way);
--- a/crates/scenarios/src/main.rs
+++ b/crates/scenarios/src/main.rs
@@ -116,7 +116,10 @@
     let level = std::env::var("NUTMEGWALK_LOG_LEVEL")
         .ok()
         .and_then(|level| level.parse().ok());
-    nutmegwalk_base::logging::start(level.unwrap_or(LevelFilter::Off))?;
+    nutmegwalk_base::logging::start(
+        level.unwrap_or(LevelFilter::Off),
+        nutmegwalk_base::logging::LogTarget::Stderr,
+    )?;
     let runtime = compio::runtime::Runtime::new()
         .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
     match cli.command {
--- a/crates/store/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -15,6 +15,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::backoff::Backoff;
+use nutmegwalk_base::event;
 
 /// First delay between two attempts.
 const FIRST_RETRY: Duration = Duration::from_millis(20);
@@ -33,7 +34,7 @@
         match attempt(inner, duty, &mut parts, until).await {
             Ok(()) => {}
             Err(error) if is_transient(&error) => {
-                debug!("a batch of {} is tried again: {error}", duty.name());
+                debug!(target: event::STORE_RETRIED, "a batch of {} is tried again: {error}", duty.name());
                 let pause = backoff.next_delay();
                 compio::time::sleep(pause.min(until.saturating_duration_since(Instant::now())))
                     .await;
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -19,6 +19,7 @@
 use nutmegwalk_base::Result;
 use nutmegwalk_base::backoff::Backoff;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 
 /// Rows in one page of a snapshot; the platform returns no more than this at once.
 const PAGE_ROWS: usize = 500;
@@ -167,18 +168,18 @@
             match self.step(replica).await {
                 Ok(()) => {
                     if is_failing {
-                        info!(collection = &*self.prefix; "following the store again");
+                        info!(target: event::FEED_REGAINED, collection = &*self.prefix; "");
                     }
                     is_failing = false;
                     backoff.reset();
                 }
                 Err(error) if error.kind == ErrorKind::HistoryLost => {
-                    info!(collection = &*self.prefix; "the store has dropped its history, reading all rows again");
+                    info!(target: event::FEED_RESTARTED, collection = &*self.prefix; "");
                     self.version.set(None);
                 }
                 Err(error) => {
                     if !is_failing {
-                        warn!(collection = &*self.prefix; "cannot follow the store: {error}");
+                        warn!(target: event::FEED_LOST, collection = &*self.prefix; "{error}");
                     }
                     is_failing = true;
                     compio::time::sleep(backoff.next_delay()).await;
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -23,6 +23,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_workload::WorkerRef;
 
 /// Tries of an order that the worker does not answer. A repeated start or stop of the same run is harmless.
@@ -52,7 +53,7 @@
                 .port
                 .pace(&orders.worker, &pace.run, pace.percent, orders.epoch);
             if let Err(error) = bounded(ORDER_TIMEOUT, request).await {
-                warn!(task:% = pace.run.task, percent = pace.percent; "cannot set the pace: {error}");
+                warn!(target: event::WORKER_UNANSWERED, task:% = pace.run.task, percent = pace.percent; "cannot set the pace: {error}");
             }
         }
         Ok(OrdersAnswer { starts, stops })
@@ -111,17 +112,17 @@
                     break;
                 }
                 Err(error) => {
-                    warn!(task:% = run.task, run = run.run; "no answer to a start: {error}");
+                    warn!(target: event::WORKER_UNANSWERED, task:% = run.task, run = run.run; "no answer to a start: {error}");
                 }
             }
         }
-        info!(
+        info!(target: event::START_CARRIED_OUT,
             task:% = run.task,
             run = run.run,
             epoch = orders.epoch,
             worker = &*orders.worker.id,
             outcome:? = outcome;
-            "start"
+            ""
         );
         StartResult { run, outcome }
     }
@@ -206,17 +207,17 @@
                     break;
                 }
                 Err(error) => {
-                    warn!(task:% = run.task, run = run.run; "no answer to a stop: {error}");
+                    warn!(target: event::WORKER_UNANSWERED, task:% = run.task, run = run.run; "no answer to a stop: {error}");
                 }
             }
         }
-        info!(
+        info!(target: event::STOP_CARRIED_OUT,
             task:% = run.task,
             run = run.run,
             epoch = orders.epoch,
             worker = &*orders.worker.id,
             outcome:? = outcome;
-            "stop"
+            ""
         );
         StartResult {
             run: run.clone(),
@@ -236,7 +237,7 @@
             }
         };
         if let Err(error) = self.hold(&request).await {
-            warn!(task:% = run.task, run = run.run; "cannot look at the worker after a stop: {error}");
+            warn!(target: event::WORKER_SILENT, task:% = run.task, run = run.run; "cannot look at the worker after a stop: {error}");
             return TaskOutcome::Unknown;
         }
         let state = self.state.borrow();
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -24,6 +24,7 @@
 use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_workload::WorkerRef;
 
@@ -217,10 +218,10 @@
                 return false;
             }
         }
-        info!(
+        info!(target: event::WORKER_ANNOUNCED,
             worker = &*announcement.worker.id,
             born_unix_ms = announcement.worker.born_unix_ms;
-            "the worker has announced itself"
+            ""
         );
         state.worker = Some(Supervised::new(announcement, now));
         state.refused_epoch = 0;
@@ -237,7 +238,7 @@
             .as_ref()
             .is_some_and(|worker| &*worker.worker().id == id)
         {
-            info!(worker = id; "the worker has left");
+            info!(target: event::WORKER_LEFT, worker = id; "");
             state.worker = None;
             self.inner.changed.raise();
         }
@@ -317,7 +318,7 @@
                     if error.kind == ErrorKind::StaleEpoch {
                         inner.state.borrow_mut().refused_epoch = request.epoch;
                     }
-                    warn!(worker = &*request.worker.id; "cannot look at the worker: {error}");
+                    warn!(target: event::WORKER_SILENT, worker = &*request.worker.id; "cannot look at the worker: {error}");
                     inner.pause(inner.timings.retry_pause).await;
                 }
             }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -18,7 +18,10 @@
     let level = std::env::var("NUTMEGWALK_LOG_LEVEL")
         .ok()
         .and_then(|level| level.parse().ok());
-    nutmegwalk_base::logging::start(level.unwrap_or(LevelFilter::Warn))?;
+    nutmegwalk_base::logging::start(
+        level.unwrap_or(LevelFilter::Warn),
+        nutmegwalk_base::logging::LogTarget::Stderr,
+    )?;
     let runtime = compio::runtime::Runtime::new()
         .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
     let deployment = Deployment::start(DeploymentPlan::new(directories, seed)?)?;
