Serve counters and histograms, and split the owner's planning file

Cause: after a complaint there were logs and no figures, and planning.rs held decisions, their view and their urgency in 800 lines. Also: in the tests of the assembly a killed agent's tasks no longer reach the store, as after a real kill.

--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -13,6 +13,8 @@
 
 use crate::Ports;
 use crate::locator::Locator;
+use crate::metrics::ProcessState;
+use crate::metrics::serve_metrics;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Incarnation;
@@ -22,6 +24,7 @@
 use nutmegwalk_base::event;
 use nutmegwalk_base::new_incarnation;
 use nutmegwalk_base::secret::Secret;
+use nutmegwalk_domain::DomainMetrics;
 use nutmegwalk_domain::DomainOwner;
 use nutmegwalk_domain::DomainSettings;
 use nutmegwalk_lease::Ownership;
@@ -87,6 +90,8 @@
     pub reports: ReportTimings,
     /// Lengths of time of the worker's supervision.
     pub supervisor: SupervisorTimings,
+    /// Address at which metrics are read, if they are.
+    pub metrics: Option<SocketAddr>,
     /// Secret shared by the processes of the deployment; empty if only these reach each other.
     pub secret: Secret,
 }
@@ -140,6 +145,7 @@
             Rc::clone(&ports.feed),
             Rc::clone(&ports.rows),
             ports.client.clone(),
+            DomainMetrics::new(&ports.metrics.meter()),
         );
         let locator = Locator::new(
             ports.store.clone(),
@@ -182,6 +188,7 @@
         info!(target: event::PROCESS_STARTED, process = name, address:% = shared.address, incarnation = shared.incarnation; "");
         let served = compio::runtime::spawn(server.serve(Rc::clone(&shared), shared.drain.clone()));
         let tasks = shared.spawn_duties();
+        let metrics = shared.serve_metrics().await;
         stop.started().await;
         info!(target: event::PROCESS_STOPPING, process = name, owner = shared.owner.is_serving(); "");
         if shared.contending.borrow().is_some()
@@ -190,6 +197,7 @@
             warn!(target: event::LEASE_PROBLEM, process = name; "{error}");
         }
         drop(tasks);
+        drop(metrics);
         shared.drain.start();
         if compio::time::timeout(STOP_LIMIT, served).await.is_err() {
             warn!(target: event::ANSWERS_GIVEN_UP, process = name; "answers in flight are given up");
@@ -212,6 +220,16 @@
         ]
     }
 
+    async fn serve_metrics(self: &Rc<Self>) -> Option<JoinHandle<()>> {
+        let shared = Rc::clone(self);
+        let state = move || ProcessState {
+            policy_age: None,
+            store_blocked_for: shared.ports.relayed.blocked_for().unwrap_or_default(),
+            is_owner: shared.owner.is_serving(),
+        };
+        serve_metrics(self.settings.metrics?, &self.ports, Box::new(state)).await
+    }
+
     /// Reports to the owner: at once after a change, else at an interval.
     async fn report(&self) {
         let mut is_failing = false;
--- a/crates/assembly/src/entry.rs
+++ b/crates/assembly/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry host.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,8 @@
 
 use crate::Ports;
 use crate::locator::Locator;
+use crate::metrics::ProcessState;
+use crate::metrics::serve_metrics;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::ProcessId;
@@ -17,6 +20,7 @@
 use nutmegwalk_base::event;
 use nutmegwalk_intake::Caller;
 use nutmegwalk_intake::Intake;
+use nutmegwalk_intake::IntakeMetrics;
 use nutmegwalk_intake::IntakeSettings;
 use nutmegwalk_intake::JobView;
 use nutmegwalk_net::Drain;
@@ -50,6 +54,8 @@
     pub domain: Box<str>,
     /// Time for which a stopping host still serves, so that the balancer and callers leave first.
     pub leave_notice: Duration,
+    /// Address at which metrics are read, if they are.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// An entry host without its network side, which belongs to the adapter.
@@ -69,7 +75,8 @@
     pub fn new(settings: EntrySettings, ports: &Ports) -> Self {
         let policy = PolicyView::new(Rc::clone(&ports.feed), Rc::clone(&ports.rows));
         let jobs = JobView::new(Rc::clone(&ports.feed));
-        let intake = Intake::new(settings.intake, ports.store.clone(), jobs.clone());
+        let metrics = IntakeMetrics::new(&ports.metrics.meter());
+        let intake = Intake::new(settings.intake, ports.store.clone(), jobs.clone(), metrics);
         let locator = Locator::new(ports.store.clone(), &settings.domain, None);
         Self {
             settings,
@@ -89,11 +96,23 @@
         let name = &*self.settings.name;
         info!(target: event::PROCESS_STARTED, process = name; "");
         let tasks = self.spawn_followers();
+        let metrics = self.serve_metrics().await;
         stop.started().await;
         info!(target: event::PROCESS_STOPPING, process = name; "");
         self.is_leaving.set(true);
         compio::time::sleep(self.settings.leave_notice).await;
         drop(tasks);
+        drop(metrics);
+    }
+
+    async fn serve_metrics(&self) -> Option<JoinHandle<()>> {
+        let (policy, relayed) = (self.policy.clone(), self.ports.relayed.clone());
+        let state = move || ProcessState {
+            policy_age: policy.age(),
+            store_blocked_for: relayed.blocked_for().unwrap_or_default(),
+            is_owner: false,
+        };
+        serve_metrics(self.settings.metrics?, &self.ports, Box::new(state)).await
     }
 
     fn spawn_followers(&self) -> Vec<JoinHandle<()>> {
--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod entry;
 mod locator;
+mod metrics;
 mod ports;
 
 pub use agent::AgentSettings;
--- a/crates/assembly/src/ports.rs
+++ b/crates/assembly/src/ports.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegwalk_base::metrics::Metrics;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_net::Client;
 use nutmegwalk_policy::OperatorRows;
@@ -34,6 +35,8 @@
     pub rows: Rc<dyn OperatorRows>,
     /// Client for messages to other processes of this system.
     pub client: Client,
+    /// Metrics of the process.
+    pub metrics: Metrics,
     /// Tells whether the own way to the store works.
     pub(crate) relayed: RelayedStore,
     /// Passes requests of peers on to the store.
@@ -45,7 +48,13 @@
 impl Ports {
     /// Creates the ports over the platform's store and the operators' rows in it.
     #[must_use]
-    pub fn new<S>(store: Rc<S>, rows: Rc<dyn OperatorRows>, client: Client, secret: Secret) -> Self
+    pub fn new<S>(
+        store: Rc<S>,
+        rows: Rc<dyn OperatorRows>,
+        client: Client,
+        secret: Secret,
+        metrics: Metrics,
+    ) -> Self
     where
         S: ChangeFeed + ObjectStore + TableStore + 'static,
     {
@@ -72,6 +81,7 @@
             feed: shared,
             rows,
             client,
+            metrics,
             relayed,
             relay: RelayServer::new(store.clone(), store, secret),
             peers,
--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::metrics::Metrics;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_domain::DomainSettings;
 use nutmegwalk_emulator::EmulatedPort;
@@ -118,7 +119,7 @@
 pub(crate) struct Host {
     pub(crate) worker: Rc<EmulatedWorker>,
     name: Box<str>,
-    process: RefCell<Option<(JoinHandle<()>, Drain)>>,
+    process: RefCell<Option<(JoinHandle<()>, Drain, EmulatedStore)>>,
     heartbeats: RefCell<Option<JoinHandle<()>>>,
 }
 
@@ -175,14 +176,11 @@
     /// Starts the agent of a host, and the heartbeats of its worker.
     pub(crate) async fn start_agent(&self, host: usize) {
         let host = &self.hosts[host];
+        let store = self.store.way();
         let port = Rc::new(EmulatedPort::new(Rc::clone(&host.worker)));
-        let agent = DomainAgent::bind(
-            agent_settings(&host.name),
-            ports(&host.name, &self.store),
-            port,
-        )
-        .await
-        .expect("a free port");
+        let agent = DomainAgent::bind(agent_settings(&host.name), ports(&host.name, &store), port)
+            .await
+            .expect("a free port");
         let supervisor = agent.supervisor();
         let worker = Rc::clone(&host.worker);
         let heartbeats = compio::runtime::spawn(async move {
@@ -197,13 +195,16 @@
         let stop = Drain::new();
         let running = agent.run(stop.clone());
         let task = compio::runtime::spawn(running);
-        *host.process.borrow_mut() = Some((task, stop));
+        *host.process.borrow_mut() = Some((task, stop, store));
     }
 
     /// Ends the agent of a host as a kill would.
     pub(crate) fn kill_agent(&self, host: usize) {
         self.hosts[host].heartbeats.borrow_mut().take();
-        self.hosts[host].process.borrow_mut().take();
+        if let Some((_, _, store)) = self.hosts[host].process.borrow_mut().take() {
+            // Tasks that the process had left to themselves do not die with it here.
+            store.close();
+        }
     }
 
     /// Kills all agents and ends the lives of all workers, as a loss of power would.
@@ -325,6 +326,7 @@
         Rc::new(TestRows),
         client,
         Secret::new(""),
+        Metrics::new().expect("metrics"),
     )
 }
 
@@ -352,6 +354,7 @@
             mute_after: Duration::from_millis(1_000),
             ..SupervisorTimings::default()
         },
+        metrics: None,
         secret: Secret::new(""),
     }
 }
@@ -365,6 +368,7 @@
         ready_blocked: Duration::from_millis(700),
         domain: "test".into(),
         leave_notice: Duration::ZERO,
+        metrics: None,
     }
 }
 
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -39,6 +39,8 @@
     LINES_DROPPED = "lines_dropped";
     /// A process cannot wait for a signal and does not react to it.
     SIGNALS_LOST = "signals_lost";
+    /// The metrics cannot be served; the process goes on without.
+    METRICS_UNAVAILABLE = "metrics_unavailable";
     /// A connection was not accepted.
     CONNECTION_REFUSED = "connection_refused";
     /// A connection has ended with an error.
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -142,9 +142,11 @@
 
     fn take_in_results(self: &Rc<Self>, worker: &WorkerRef, answer: &OrdersAnswer) {
         for result in &answer.starts {
+            self.metrics.order_answered("start", result.outcome.name());
             self.take_in_start(worker, result);
         }
         for result in &answer.stops {
+            self.metrics.order_answered("stop", result.outcome.name());
             self.take_in_stop(worker, result);
         }
     }
@@ -221,6 +223,7 @@
         if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
             && known.health.failed(clock::now())
         {
+            self.metrics.worker_set_aside();
             warn!(target: event::WORKER_SET_ASIDE, worker = &*worker.id; "worker set aside: it does not take orders");
         }
     }
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -87,6 +87,8 @@
     pub(crate) revision: u64,
     /// When all its tasks were there.
     pub(crate) whole_since: Option<Instant>,
+    /// Whether the job was covered by its customer's guarantee when the run was decided.
+    pub(crate) is_guaranteed: bool,
     /// Checkpoint that the run resumed from.
     pub(crate) resumed_from: Option<Box<str>>,
     pub(crate) seats: Vec<Seat>,
@@ -109,6 +111,7 @@
             run: attempt.run,
             revision,
             whole_since: None,
+            is_guaranteed: false,
             resumed_from: None,
             seats,
         }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -9,14 +9,18 @@
 mod dispatch;
 mod job;
 mod journal;
+mod metrics;
 mod owner;
 mod planning;
 mod replica;
 mod report;
 mod settings;
+mod snapshot;
 mod term;
 mod time;
+mod urgency;
 mod worker;
 
+pub use metrics::DomainMetrics;
 pub use owner::DomainOwner;
 pub use settings::DomainSettings;
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -7,6 +7,7 @@
 
 use log::info;
 
+use crate::DomainMetrics;
 use crate::replica::JobReplica;
 use crate::settings::DomainSettings;
 use crate::term::State;
@@ -42,6 +43,7 @@
     feed: Rc<dyn ChangeFeed>,
     rows: Rc<dyn OperatorRows>,
     client: Client,
+    metrics: DomainMetrics,
     term: RefCell<Option<Rc<Term>>>,
     terms: Cell<u64>,
 }
@@ -56,6 +58,7 @@
         feed: Rc<dyn ChangeFeed>,
         rows: Rc<dyn OperatorRows>,
         client: Client,
+        metrics: DomainMetrics,
     ) -> Self {
         Self {
             settings,
@@ -64,6 +67,7 @@
             feed,
             rows,
             client,
+            metrics,
             term: RefCell::new(None),
             terms: Cell::new(0),
         }
@@ -138,11 +142,13 @@
             store: self.store.clone(),
             client: self.client.clone(),
             policy: policy.clone(),
+            metrics: self.metrics.clone(),
             started_at: clock::now(),
             wall: WallClock::new(),
             state: RefCell::new(State::default()),
             wake,
             is_loaded: Cell::new(false),
+            has_decided: Cell::new(false),
         });
         *self.term.borrow_mut() = Some(Rc::clone(&term));
         let replica = JobReplica::new(Rc::clone(&term));
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -12,6 +12,7 @@
 
 use crate::job::SeatState;
 use crate::job::StopState;
+use crate::metrics::DomainMetrics;
 use crate::term::State;
 use crate::term::Term;
 use crate::term::as_ms;
@@ -201,7 +202,7 @@
         let state = &mut *state;
         let mut strays = BTreeMap::new();
         for task in &status.running {
-            if !state.note_running(worker, task, now) {
+            if !state.note_running(worker, task, &self.metrics, now) {
                 let demand = state.demand_of(&task.run);
                 strays.insert(task.run.clone(), Stray { demand });
             }
@@ -269,7 +270,13 @@
 
 impl State {
     /// Notes that a task runs; returns false when it should not.
-    fn note_running(&mut self, worker: &WorkerRef, task: &RunningTask, now: Instant) -> bool {
+    fn note_running(
+        &mut self,
+        worker: &WorkerRef,
+        task: &RunningTask,
+        metrics: &DomainMetrics,
+        now: Instant,
+    ) -> bool {
         let Some(job) = self.jobs.get_mut(&task.run.task.job) else {
             return false;
         };
@@ -288,15 +295,17 @@
             seat.checkpoint.clone_from(&task.checkpoint);
             seat.checkpoint_at = Some(now);
         }
-        let run = job
-            .units
-            .get_mut(&unit)
-            .and_then(|live| live.runs.iter_mut().find(|run| run.run == task.run.run));
-        if let Some(run) = run
+        if let Some(live) = job.units.get_mut(&unit)
+            && let Some(run) = live.runs.iter_mut().find(|run| run.run == task.run.run)
             && run.whole_since.is_none()
             && run.is_whole()
         {
             run.whole_since = Some(now);
+            if let Some(ready_since) = live.ready_since {
+                let delay = now.saturating_duration_since(ready_since);
+                let priority = job.record.policy.priority;
+                metrics.started(priority, run.is_guaranteed, delay);
+            }
         }
         true
     }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -15,6 +15,7 @@
 
 use crate::job::Job;
 use crate::job::SeatState;
+use crate::metrics::DomainMetrics;
 use crate::settings::DomainSettings;
 use crate::time::WallClock;
 use crate::worker::AgentInfo;
@@ -49,6 +50,7 @@
     pub(crate) store: StoreClient,
     pub(crate) client: Client,
     pub(crate) policy: PolicyView,
+    pub(crate) metrics: DomainMetrics,
     pub(crate) started_at: Instant,
     pub(crate) wall: WallClock,
     pub(crate) state: RefCell<State>,
@@ -56,6 +58,8 @@
     pub(crate) wake: Signal,
     /// Whether the jobs have been read from the store.
     pub(crate) is_loaded: Cell<bool>,
+    /// Whether a decision was taken in this term.
+    pub(crate) has_decided: Cell<bool>,
 }
 
 /// Jobs, workers and agents.
@@ -167,10 +171,11 @@
             task:% = ended.task,
             run = ended.run,
             worker = &*worker.id,
-            kind:? = kind,
+            kind = kind.name(),
             effect:? = effect;
             ""
         );
+        self.metrics.run_ended(kind);
         let live = job.units.entry(unit.clone()).or_default();
         let mut run_time = None;
         let mut workers_of_run = Vec::new();
@@ -207,6 +212,7 @@
                 if let Some(worker) = state.workers.get_mut(&worker.id)
                     && worker.health.failed(now)
                 {
+                    self.metrics.worker_set_aside();
                     warn!(target: event::WORKER_SET_ASIDE, worker = &*worker.announcement.worker.id; "worker set aside after failures in a row");
                 }
                 if is_exhausted {
@@ -256,10 +262,12 @@
             job.ended_at = Some(now);
             job.progress.ended_unix_ms = Some(self.wall.unix_ms());
             let age = now.saturating_duration_since(job.accepted_at);
+            let (ended, priority) = (job.progress.state, job.record.policy.priority);
+            self.metrics.job_ended(ended, priority, age);
             info!(target: event::JOB_ENDED,
                 job = &**id,
                 queue = &*job.record.queue,
-                state:? = job.progress.state,
+                state = job.progress.state.name(),
                 age_ms = as_ms(age);
                 ""
             );
@@ -276,7 +284,7 @@
         if job.progress.state.is_final() {
             return;
         }
-        info!(target: event::JOB_CANCELLED, job = &**id, state:? = job.progress.state; "");
+        info!(target: event::JOB_CANCELLED, job = &**id, state = job.progress.state.name(); "");
         job.progress.end(JobState::Cancelled);
         job.stop_all();
         let workers = job
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -32,6 +32,8 @@
     pub is_down: Rc<Cell<bool>>,
     /// Writes of jobs' progress are refused while this is set.
     pub refuses_progress: Rc<Cell<bool>>,
+    /// Nobody is answered on this way any more.
+    is_closed: Rc<Cell<bool>>,
 }
 
 impl EmulatedStore {
@@ -41,7 +43,24 @@
         Self::default()
     }
 
-    fn check(&self) -> Result<()> {
+    /// Returns another way to the same store, which can be closed by itself.
+    #[must_use]
+    pub fn way(&self) -> Self {
+        Self {
+            is_closed: Rc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Answers nothing on this way from now on, as if its process had been killed.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
+    async fn check(&self) -> Result<()> {
+        if self.is_closed.get() {
+            std::future::pending::<()>().await;
+        }
         if self.is_down.get() {
             return Err(Error::new(ErrorKind::StoreUnavailable, "the store is down"));
         }
@@ -55,7 +74,7 @@
         transaction: &'a Transaction,
     ) -> LocalBoxFuture<'a, Result<TransactionOutcome>> {
         async move {
-            self.check()?;
+            self.check().await?;
             let is_progress = transaction.writes.iter().any(|write| match write {
                 Write::Put { key, .. } | Write::Delete { key } => key.ends_with("/progress"),
             });
@@ -69,7 +88,7 @@
 
     fn get<'a>(&'a self, keys: &'a [Box<str>]) -> LocalBoxFuture<'a, Result<Vec<Option<Row>>>> {
         async move {
-            self.check()?;
+            self.check().await?;
             Ok(self.memory.read(keys))
         }
         .boxed_local()
@@ -82,7 +101,7 @@
         limit: usize,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>>> {
         async move {
-            self.check()?;
+            self.check().await?;
             Ok(self.memory.read_range(prefix, after, limit))
         }
         .boxed_local()
@@ -97,7 +116,7 @@
         limit: usize,
     ) -> LocalBoxFuture<'a, Result<Page>> {
         async move {
-            self.check()?;
+            self.check().await?;
             self.memory.page(prefix, after, limit).await
         }
         .boxed_local()
@@ -110,9 +129,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<Changes>> {
         async move {
-            self.check()?;
+            self.check().await?;
             let changes = self.memory.changes(prefix, after, wait).await;
-            self.check()?;
+            self.check().await?;
             changes
         }
         .boxed_local()
@@ -122,7 +141,7 @@
 impl ObjectStore for EmulatedStore {
     fn put_object<'a>(&'a self, name: &'a str, content: Bytes) -> LocalBoxFuture<'a, Result<()>> {
         async move {
-            self.check()?;
+            self.check().await?;
             self.memory.write_object(name, content);
             Ok(())
         }
@@ -131,7 +150,7 @@
 
     fn get_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<Option<Bytes>>> {
         async move {
-            self.check()?;
+            self.check().await?;
             Ok(self.memory.read_object(name))
         }
         .boxed_local()
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -8,6 +8,8 @@
 use crate::Caller;
 use crate::JobView;
 use crate::KnownJob;
+use crate::metrics::Call;
+use crate::metrics::IntakeMetrics;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
@@ -46,16 +48,23 @@
     settings: IntakeSettings,
     store: StoreClient,
     view: JobView,
+    metrics: IntakeMetrics,
 }
 
 impl Intake {
     /// Creates the callers' side over the store and a view of its jobs.
     #[must_use]
-    pub fn new(settings: IntakeSettings, store: StoreClient, view: JobView) -> Self {
+    pub fn new(
+        settings: IntakeSettings,
+        store: StoreClient,
+        view: JobView,
+        metrics: IntakeMetrics,
+    ) -> Self {
         Self {
             settings,
             store,
             view,
+            metrics,
         }
     }
 
@@ -70,6 +79,17 @@
         id: &str,
         spec: JobSpec,
         limit: Duration,
+    ) -> Result<()> {
+        let result = self.accept(caller, id, spec, limit);
+        self.measured(Call::Submit, result).await
+    }
+
+    async fn accept(
+        &self,
+        caller: &Caller,
+        id: &str,
+        spec: JobSpec,
+        limit: Duration,
     ) -> Result<()> {
         if let Some(known) = self.view.get(id) {
             return self.accepted_before(caller, id, &known);
@@ -137,7 +157,9 @@
     /// # Errors
     /// `not_found` when the customer has no such job, `store_unavailable` when that cannot be told.
     pub async fn state(&self, caller: &Caller, id: &str, limit: Duration) -> Result<JobState> {
-        self.own_job(caller, id, limit).await.map(|job| job.state())
+        let job = self.own_job(caller, id, limit);
+        let job = self.measured(Call::State, job).await?;
+        Ok(job.state())
     }
 
     /// Cancels a job that has not ended.
@@ -146,6 +168,11 @@
     /// `not_found` when the customer has no such job or it has ended, `store_unavailable` or
     /// `store_unknown` when the store did not take the wish.
     pub async fn cancel(&self, caller: &Caller, id: &str, limit: Duration) -> Result<()> {
+        let result = self.store_wish(caller, id, limit);
+        self.measured(Call::Cancel, result).await
+    }
+
+    async fn store_wish(&self, caller: &Caller, id: &str, limit: Duration) -> Result<()> {
         let known = self.own_job(caller, id, limit).await?;
         match known.state() {
             JobState::Cancelled => return Ok(()),
@@ -183,6 +210,13 @@
     /// # Errors
     /// `stale_view` when the jobs were last read too long ago.
     pub fn waiting(&self, caller: &Caller) -> Result<usize> {
+        let result = self.count_waiting(caller);
+        self.metrics
+            .answered(Call::Waiting, &result, Duration::ZERO);
+        result
+    }
+
+    fn count_waiting(&self, caller: &Caller) -> Result<usize> {
         let age = self.view.age().unwrap_or(Duration::MAX);
         if age > self.settings.max_view_age {
             let detail = format!("the jobs were last read {age:?} ago");
@@ -191,6 +225,15 @@
         Ok(self.view.waiting(&caller.queue.name))
     }
 
+    /// Notes the answer to a call in the metrics.
+    async fn measured<T>(&self, call: Call, result: impl Future<Output = Result<T>>) -> Result<T> {
+        let started_at = clock::now();
+        let result = result.await;
+        let time = clock::now().saturating_duration_since(started_at);
+        self.metrics.answered(call, &result, time);
+        result
+    }
+
     async fn own_job(&self, caller: &Caller, id: &str, limit: Duration) -> Result<KnownJob> {
         let found = match self.view.get(id) {
             Some(known) => Some(known),
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod caller;
 mod intake;
+mod metrics;
 mod view;
 
 pub use caller::Caller;
 pub use intake::Intake;
 pub use intake::IntakeSettings;
+pub use metrics::IntakeMetrics;
 pub use view::JobView;
 pub use view::KnownJob;
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -184,6 +184,19 @@
     Absent,
 }
 
+impl TaskOutcome {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Refused(refusal) => refusal.name(),
+            Self::Unknown => "unknown",
+            Self::Absent => "absent",
+        }
+    }
+}
+
 /// Result of a start.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StartResult {
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -121,7 +121,7 @@
             run = run.run,
             epoch = orders.epoch,
             worker = &*orders.worker.id,
-            outcome:? = outcome;
+            outcome = outcome.name();
             ""
         );
         StartResult { run, outcome }
@@ -216,7 +216,7 @@
             run = run.run,
             epoch = orders.epoch,
             worker = &*orders.worker.id,
-            outcome:? = outcome;
+            outcome = outcome.name();
             ""
         );
         StartResult {
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -62,6 +62,20 @@
     }
 }
 
+impl JobState {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Pending => "pending",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// How a task's run ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -82,6 +96,22 @@
     Lost,
 }
 
+impl EndKind {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::LeaseLapsed => "lease_lapsed",
+            Self::GangBroken => "gang_broken",
+            Self::GangIncomplete => "gang_incomplete",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// A run of a unit.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Attempt {
