Wait in the stand-in's drop until its address is free

The runtime closes a listener on a thread of its own, possibly after the runtime has ended. Change: drop waits until the address can be bound again. The test is unchanged.

--- a/crates/scenarios/src/platform/mod.rs
+++ b/crates/scenarios/src/platform/mod.rs
@@ -11,6 +11,7 @@
 mod worker;
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -48,6 +49,11 @@
 /// Interval at which the stand-in's thread looks whether it is to stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// Interval at which a stopped stand-in looks whether its address is free.
+const CLOSE_POLL: Duration = Duration::from_millis(2);
+/// Time after which a stopped stand-in no longer waits for its address to be free.
+const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+
 /// A running stand-in; it stops when this is dropped.
 pub struct Platform {
     address: SocketAddr,
@@ -189,6 +195,11 @@
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
+        // The runtime closes its sockets on a thread of its own, possibly after it has ended.
+        let started = Instant::now();
+        while TcpListener::bind(self.address).is_err() && started.elapsed() < CLOSE_LIMIT {
+            std::thread::sleep(CLOSE_POLL);
+        }
     }
 }
 
