Move runs off a leaving worker, and let the lease of a silent worker lapse early

Three gangs ended 20 s late. Change: placement::leaving has runs move that outlast the time that the worker announced; those with checkpoints keep their work. After a look without an answer the agent looks on without renewing until the worker answers. Ruled out: taking a worker that refuses connections for dead; a cut resets too.

--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -9,6 +9,7 @@
 use common::job;
 use common::run;
 
+use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_workload::JobState;
 use nutmegwalk_workload::StepSpec;
 
@@ -57,6 +58,38 @@
         site.check();
     }
 
+    // Guards against work that is lost with a worker that is taken away at short notice: it has to go on
+    // elsewhere, from its checkpoint, before the worker is gone.
+    gang_leaves_a_worker_that_leaves => {
+        let site = Site::start(3).await;
+        let mut spec = gang(2, 3_000);
+        spec.payload = "work=3000 gang=2 saves".into();
+        spec.steps[0].has_checkpoints = true;
+        site.submit("normal", "a", spec).await;
+        site.until_begun("a.0.0.1", 1).await;
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let host = site.host_of("a.0.0.0");
+        site.hosts[host].worker.state.set(WorkerState::Draining { remaining_ms: Some(1_500) });
+        site.until_begun("a.0.0.1", 2).await;
+        assert!(!site.hosts[host].worker.runs("a.0.0.0"));
+        site.hosts[host].worker.die();
+        site.until_state("normal", "a", JobState::Completed).await;
+        assert_eq!(site.record.begun("a.0.0.0").len(), 2, "no work was lost with the worker");
+        site.check();
+    }
+
+    // Guards against callers that are held for a store that is known to be out of reach, and against a
+    // refusal that outlasts the outage.
+    callers_are_refused_at_once_during_an_outage => {
+        let site = Site::start(1).await;
+        site.store.is_down.set(true);
+        site.until_refused("normal", "a", "out of reach").await;
+        site.store.is_down.set(false);
+        site.until_accepted("normal", "a", job(1, 10)).await;
+        site.until_state("normal", "a", JobState::Completed).await;
+        site.check();
+    }
+
     // Guards against a run that is displaced before it was stored and never placed again.
     displaced_before_it_was_stored_is_placed_again => {
         let site = Site::start(1).await;
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -121,6 +121,8 @@
     TASKS_WAIT = "tasks_wait";
     /// The owner has decided to stop a run so that others can start.
     RUN_DISPLACED = "run_displaced";
+    /// The owner has decided to stop a run because a worker of its leaves before its end.
+    RUN_MOVED = "run_moved";
     /// The owner stops a run that did not start in time on all its workers.
     RUN_LATE = "run_late";
     /// The owner has learned of the end of a run.
--- a/crates/domain/src/metrics.rs
+++ b/crates/domain/src/metrics.rs
@@ -30,6 +30,7 @@
     decision_time: Histogram<f64>,
     ends: Counter<u64>,
     displaced: Counter<u64>,
+    moved: Counter<u64>,
     orders: Counter<u64>,
     set_aside: Counter<u64>,
     waiting: Gauge<u64>,
@@ -57,6 +58,7 @@
             decision_time: histogram("nutmegwalk_decision_time", &DECISION_BOUNDS_S),
             ends: meter.u64_counter("nutmegwalk_run_ends").build(),
             displaced: meter.u64_counter("nutmegwalk_runs_displaced").build(),
+            moved: meter.u64_counter("nutmegwalk_runs_moved").build(),
             orders: meter.u64_counter("nutmegwalk_orders").build(),
             set_aside: meter.u64_counter("nutmegwalk_workers_set_aside").build(),
             waiting: meter.u64_gauge("nutmegwalk_tasks_waiting").build(),
@@ -88,6 +90,11 @@
         self.displaced.add(1, &[]);
     }
 
+    /// Notes that a run was stopped because a worker of its leaves.
+    pub(crate) fn moved(&self) {
+        self.moved.add(1, &[]);
+    }
+
     /// Notes the end of a job, so long after its acceptance.
     pub(crate) fn job_ended(&self, state: JobState, priority: Priority, time: Duration) {
         let labels = [
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -176,7 +176,11 @@
             self.metrics
                 .took_over(now.saturating_duration_since(self.started_at));
         }
-        if snapshot.waiting.is_empty() {
+        let is_leaving = snapshot
+            .workers
+            .iter()
+            .any(|worker| worker.leaves_in.is_some());
+        if snapshot.waiting.is_empty() && !is_leaving {
             return;
         }
         let plan = plan(&snapshot);
@@ -184,6 +188,9 @@
             clock::now().saturating_duration_since(now),
             figures_of(&snapshot),
         );
+        for running in &plan.moves {
+            self.move_away(&snapshot.running[*running]);
+        }
         for preemption in &plan.preemptions {
             let victim = &snapshot.running[preemption.running];
             let beneficiary = &snapshot.waiting[preemption.beneficiary];
@@ -197,6 +204,18 @@
         }
     }
 
+    fn move_away(&self, running: &RunningUnit) {
+        info!(target: event::RUN_MOVED,
+            unit:% = running.unit,
+            run = running.run,
+            remaining_ms = as_ms(running.remaining),
+            loss_core_s = running.loss_core_s;
+            "stopped, since a worker of the run leaves before its end"
+        );
+        self.metrics.moved();
+        self.stop_run(&running.unit, running.run);
+    }
+
     fn preempt(&self, victim: &RunningUnit, beneficiary: &WaitingStep) {
         info!(target: event::RUN_DISPLACED,
             unit:% = victim.unit,
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -28,6 +28,7 @@
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::RunningTask;
 use nutmegwalk_supervisor::TaskRun;
+use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::WorkerRef;
@@ -122,6 +123,7 @@
                 strays: BTreeMap::new(),
                 health: WorkerHealth::new(self.settings.health),
                 orders: Signal::new(),
+                leaves_at: None,
                 unreachable_since: None,
             });
         if entry.announcement.state != status.announcement.state {
@@ -131,6 +133,7 @@
                 ""
             );
         }
+        entry.leaves_at = leaves_at(status, now);
         entry.announcement = status.announcement.clone();
         entry.agent = report.agent.clone();
         entry.heard_at = now;
@@ -420,3 +423,17 @@
         chosen.into_values().take(STANDBYS).cloned().collect()
     }
 }
+
+/// Returns the instant until which a worker stays at least, if it has announced that it leaves.
+fn leaves_at(status: &WorkerStatus, now: Instant) -> Option<Instant> {
+    let WorkerState::Draining {
+        remaining_ms: Some(remaining_ms),
+    } = status.announcement.state
+    else {
+        return None;
+    };
+    let announced_at = now
+        .checked_sub(Duration::from_millis(status.heartbeat_age_ms))
+        .unwrap_or(now);
+    Some(announced_at + Duration::from_millis(remaining_ms))
+}
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -118,7 +118,7 @@
                 && !worker.health.is_quarantined(now)
                 && !self.policy.is_out_of_service(&announcement.data_centre),
             slowness: 1.0,
-            leaves_in: None,
+            leaves_in: worker.leaves_at.map(|at| at.saturating_duration_since(now)),
         }
     }
 
@@ -251,6 +251,7 @@
         is_guaranteed,
         is_ending: is_done || run.is_stopping(),
         may_give_way: !step.is_lasting,
+        has_checkpoints: step.has_checkpoints,
         loss_core_s,
         remaining,
         slack: urgency.slack(unit, expected),
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -56,6 +56,8 @@
     pub(crate) health: WorkerHealth,
     /// Raised when there is something to tell the worker.
     pub(crate) orders: Signal,
+    /// Instant until which it stays at least, if it has announced that it leaves.
+    pub(crate) leaves_at: Option<Instant>,
     /// When orders last could not be delivered.
     pub(crate) unreachable_since: Option<Instant>,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,6 +7,7 @@
 mod baseline;
 mod fit;
 mod health;
+mod leaving;
 mod plan;
 mod preempt;
 mod profile;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -18,6 +18,7 @@
 use crate::fit::Locality;
 use crate::fit::allowance;
 use crate::fit::place;
+use crate::leaving::runs_to_move;
 use crate::preempt::Search;
 use crate::profile::Profile;
 use crate::profile::Room;
@@ -74,12 +75,20 @@
 
 impl<'a> Planning<'a> {
     fn new(snapshot: &'a Snapshot) -> Self {
+        let moves = runs_to_move(snapshot);
+        let mut profile = Profile::new(snapshot);
+        for running in moves.iter().map(|index| &snapshot.running[*index]) {
+            profile.give(&running.seats, STOPPING, running.ends_in());
+        }
         Self {
             snapshot,
-            profile: Profile::new(snapshot),
+            profile,
             planned: 0,
-            taken: BTreeSet::new(),
-            plan: Plan::default(),
+            taken: moves.iter().copied().collect(),
+            plan: Plan {
+                moves,
+                ..Plan::default()
+            },
         }
     }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -124,6 +124,8 @@
     pub is_ending: bool,
     /// Whether it may be stopped for another unit.
     pub may_give_way: bool,
+    /// Whether its progress survives a stop.
+    pub has_checkpoints: bool,
     /// Work that would be lost, in core-seconds; an accelerator counts as several cores.
     pub loss_core_s: f64,
     /// Time until it is expected to end.
@@ -218,6 +220,8 @@
     pub starts: Vec<Start>,
     /// Runs that give way.
     pub preemptions: Vec<Preemption>,
+    /// Runs that are stopped because a worker of theirs leaves; positions in [`Snapshot::running`].
+    pub moves: Vec<usize>,
     /// Tasks that do not start now.
     pub waits: Vec<Waiting>,
 }
--- a/crates/placement/tests/common/load.rs
+++ b/crates/placement/tests/common/load.rs
@@ -528,6 +528,7 @@
             is_guaranteed,
             is_ending: run.stopping_until_s.is_some(),
             may_give_way: true,
+            has_checkpoints: false,
             loss_core_s: cores * unsaved_s,
             remaining: seconds((run.ends_s - self.now_s).max(0.1)),
             slack: seconds(due_s - self.now_s - job.estimate_s),
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -76,6 +76,7 @@
             is_guaranteed: false,
             is_ending: false,
             may_give_way: true,
+            has_checkpoints: false,
             loss_core_s: 1.0,
             remaining,
             slack: Duration::from_secs(60),
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -131,6 +131,28 @@
         assert_eq!(racks[0], racks[1]);
     }
 
+    // Guards against work that is lost with a worker that has said that it leaves.
+    run_that_outlasts_its_worker_moves => {
+        let mut scene = Scene::new(1, 2);
+        scene.run("long", 4, 1, Duration::from_secs(9)).has_checkpoints = true;
+        scene.run("short", 4, 1, Duration::from_secs(1)).has_checkpoints = true;
+        scene.snapshot.workers[0].is_open = false;
+        scene.snapshot.workers[0].leaves_in = Some(Duration::from_secs(2));
+        assert_eq!(plan(&scene.snapshot).moves, [0]);
+        scene.snapshot.running[0].is_ending = true;
+        assert!(plan(&scene.snapshot).moves.is_empty());
+    }
+
+    // Guards against a move that throws away work that may still end in time.
+    run_without_checkpoints_moves_only_when_it_is_lost_otherwise => {
+        for (remaining_ms, expected) in [(2_500, 0), (3_500, 1)] {
+            let mut scene = Scene::new(1, 2);
+            scene.run("job", 4, 1, Duration::from_millis(remaining_ms));
+            scene.snapshot.workers[0].leaves_in = Some(Duration::from_secs(2));
+            assert_eq!(plan(&scene.snapshot).moves.len(), expected);
+        }
+    }
+
     // Guards against small tasks that break up an empty worker although a used one has room.
     small_tasks_fill_used_workers_first => {
         let mut scene = Scene::new(2, 2);
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -97,6 +97,9 @@
     pub(crate) heard_at: Instant,
     pub(crate) clock: Option<LeaseClock>,
     pub(crate) answered_at: Option<Instant>,
+    /// Whether the last look was not answered. Until the next answer looks do not renew the lease, so that
+    /// it lapses early if the worker is dead.
+    is_unanswered: bool,
     /// Ends up to this number are stored by the owner.
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
@@ -113,6 +116,7 @@
             heard_at,
             clock: None,
             answered_at: None,
+            is_unanswered: false,
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
@@ -350,7 +354,7 @@
         }
         let is_unacknowledged = !worker.ended.is_empty();
         let is_first = worker.answered_at.is_none();
-        let wait = if is_unacknowledged || is_first {
+        let wait = if is_unacknowledged || is_first || worker.is_unanswered {
             Duration::ZERO
         } else if worker.running.is_empty() {
             self.timings.idle_wait
@@ -369,6 +373,9 @@
         let renewal = self.begin_renewal(&request.worker, request.lease_until_clock_ms);
         let answer = bounded(limit, self.port.hold(request)).await;
         self.end_renewal(renewal, answer.as_ref().err());
+        if answer.is_err() {
+            self.note_unanswered(&request.worker);
+        }
         self.absorb(&request.worker, answer?)
     }
 
@@ -404,6 +411,14 @@
         }
     }
 
+    fn note_unanswered(&self, asked: &WorkerRef) {
+        if let Some(worker) = &mut self.state.borrow_mut().worker
+            && worker.worker() == asked
+        {
+            worker.is_unanswered = true;
+        }
+    }
+
     fn absorb(&self, asked: &WorkerRef, answer: HoldAnswer) -> Result<()> {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
@@ -433,6 +448,7 @@
             .get_or_insert_with(|| LeaseClock::new(answer.clock_ms, now, self.timings.max_lease))
             .observe(answer.clock_ms, now);
         worker.answered_at = Some(now);
+        worker.is_unanswered = false;
         if worker.absorb(answer) || is_first {
             self.notify_owner();
         }
@@ -452,7 +468,9 @@
             worker: worker.worker().clone(),
             epoch: self.epoch,
             acknowledged: worker.acknowledged,
-            lease_until_clock_ms: self.lease_until_ms(worker, timings),
+            lease_until_clock_ms: (!worker.is_unanswered)
+                .then(|| self.lease_until_ms(worker, timings))
+                .flatten(),
             wait,
         }
     }
