Refuse at once while the store is out of reach, and spread the callers' tries

Change: a host whose requests have failed in every way for 0.7 s refuses at once; one that does not know yet holds a call for at most 45% of the caller's time; Retry-After grows with the outage (1.5 times its age, 1 to 4 s). Ruled out: the breaker (it probes every 0.4 s) and the feeds (0.4 s). Tests: refusal.rs plays outages of 1 to 10 s against callers with five tries; callers_are_refused_at_once_during_an_outage.

--- a/crates/assembly/src/entry.rs
+++ b/crates/assembly/src/entry.rs
@@ -76,7 +76,13 @@
         let policy = PolicyView::new(Rc::clone(&ports.feed), Rc::clone(&ports.rows));
         let jobs = JobView::new(Rc::clone(&ports.feed));
         let metrics = IntakeMetrics::new(&ports.metrics.meter());
-        let intake = Intake::new(settings.intake, ports.store.clone(), jobs.clone(), metrics);
+        let intake = Intake::new(
+            settings.intake,
+            ports.store.clone(),
+            Rc::clone(&ports.reach),
+            jobs.clone(),
+            metrics,
+        );
         let locator = Locator::new(ports.store.clone(), &settings.domain, None);
         Self {
             settings,
--- a/crates/assembly/src/ports.rs
+++ b/crates/assembly/src/ports.rs
@@ -15,6 +15,7 @@
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::ClientTimings;
 use nutmegwalk_store::ObjectStore;
+use nutmegwalk_store::Reach;
 use nutmegwalk_store::StoreClient;
 use nutmegwalk_store::TableStore;
 
@@ -37,6 +38,8 @@
     pub client: Client,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Tells whether the store can be reached.
+    pub reach: Rc<dyn Reach>,
     /// Tells whether the own way to the store works.
     pub(crate) relayed: RelayedStore,
     /// Passes requests of peers on to the store.
@@ -78,7 +81,8 @@
                 Budgets::default(),
                 timings,
             ),
-            feed: shared,
+            feed: shared.clone(),
+            reach: shared,
             rows,
             client,
             metrics,
--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -242,6 +242,39 @@
             .expect("the store is there");
     }
 
+    /// Submits a job until it is refused as not run, for a reason that contains `reason`.
+    pub(crate) async fn until_refused(&self, queue: &str, id: &str, reason: &str) {
+        let caller = self.caller(queue);
+        let started = Instant::now();
+        loop {
+            let result = self
+                .entry
+                .intake()
+                .submit(&caller, id, job(1, 10), CALL_LIMIT);
+            let error = result.await.expect_err("the store is away");
+            if error.kind == ErrorKind::StoreUnavailable && error.detail.contains(reason) {
+                return;
+            }
+            assert!(started.elapsed() < PATIENCE, "refused otherwise: {error}");
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Submits a job until it is accepted.
+    pub(crate) async fn until_accepted(&self, queue: &str, id: &str, spec: JobSpec) {
+        let caller = self.caller(queue);
+        let started = Instant::now();
+        while let Err(error) = self
+            .entry
+            .intake()
+            .submit(&caller, id, spec.clone(), CALL_LIMIT)
+            .await
+        {
+            assert!(started.elapsed() < PATIENCE, "still refused: {error}");
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Cancels a job.
     pub(crate) async fn cancel(&self, queue: &str, id: &str) {
         let caller = self.caller(queue);
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -1,5 +1,6 @@
 //! Accepting and cancelling jobs, and telling their state.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use log::info;
@@ -10,12 +11,15 @@
 use crate::KnownJob;
 use crate::metrics::Call;
 use crate::metrics::IntakeMetrics;
+use crate::refusal;
+use crate::retry_after;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_store::Duty;
+use nutmegwalk_store::Reach;
 use nutmegwalk_store::StoreClient;
 use nutmegwalk_store::Transaction;
 use nutmegwalk_store::TransactionOutcome;
@@ -27,8 +31,7 @@
 /// Settings of the callers' side.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct IntakeSettings {
-    /// Time for a write or read on behalf of a caller. It lies well below the time that callers give,
-    /// so that they hear of a failure while they can still try another host.
+    /// Longest time for a write or read on behalf of a caller.
     pub store_deadline: Duration,
     /// Age of the view of jobs beyond which it is not used to count waiting jobs.
     pub max_view_age: Duration,
@@ -43,10 +46,15 @@
     }
 }
 
+/// Share of the caller's time that a write or read on its behalf may take: with less than half of it gone
+/// the caller can still try another host.
+const STORE_SHARE: f64 = 0.45;
+
 /// The callers' side of a domain.
 pub struct Intake {
     settings: IntakeSettings,
     store: StoreClient,
+    reach: Rc<dyn Reach>,
     view: JobView,
     metrics: IntakeMetrics,
 }
@@ -57,12 +65,14 @@
     pub fn new(
         settings: IntakeSettings,
         store: StoreClient,
+        reach: Rc<dyn Reach>,
         view: JobView,
         metrics: IntakeMetrics,
     ) -> Self {
         Self {
             settings,
             store,
+            reach,
             view,
             metrics,
         }
@@ -111,7 +121,7 @@
         let transaction = Transaction::new()
             .with_absent(key.clone())
             .with_put(key, value);
-        let deadline = limit.min(self.settings.store_deadline);
+        let deadline = self.store_deadline(limit)?;
         let outcome = self
             .store
             .transact(Duty::Acceptance, &transaction, deadline)
@@ -186,7 +196,7 @@
         let transaction = Transaction::new()
             .with_absent(key.clone())
             .with_put(key, "{}");
-        let deadline = limit.min(self.settings.store_deadline);
+        let deadline = self.store_deadline(limit)?;
         let outcome = self
             .store
             .transact(Duty::Acceptance, &transaction, deadline)
@@ -234,12 +244,24 @@
         result
     }
 
+    /// Returns the time for a write or read on behalf of a caller that gives `limit`.
+    fn store_deadline(&self, limit: Duration) -> Result<Duration> {
+        refusal::check(self.reach.unreachable_for())?;
+        Ok(limit.mul_f64(STORE_SHARE).min(self.settings.store_deadline))
+    }
+
+    /// Returns when a caller that is refused now should come back.
+    #[must_use]
+    pub fn retry_after(&self) -> Duration {
+        retry_after(self.reach.unreachable_for())
+    }
+
     async fn own_job(&self, caller: &Caller, id: &str, limit: Duration) -> Result<KnownJob> {
         let found = match self.view.get(id) {
             Some(known) => Some(known),
             None => {
-                self.find(id, limit.min(self.settings.store_deadline))
-                    .await?
+                let deadline = self.store_deadline(limit)?;
+                self.find(id, deadline).await?
             }
         };
         found
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -7,11 +7,13 @@
 mod caller;
 mod intake;
 mod metrics;
+mod refusal;
 mod view;
 
 pub use caller::Caller;
 pub use intake::Intake;
 pub use intake::IntakeSettings;
 pub use metrics::IntakeMetrics;
+pub use refusal::retry_after;
 pub use view::JobView;
 pub use view::KnownJob;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -23,6 +23,7 @@
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Changes;
 use nutmegwalk_store::Page;
+use nutmegwalk_store::Reach;
 use nutmegwalk_store::Row;
 use nutmegwalk_store::RowVersion;
 use nutmegwalk_store::StoreClock;
@@ -66,6 +67,9 @@
     tried_at: Option<Instant>,
     /// Time for the next answer.
     timeout: Duration,
+    /// When the first of the requests had failed that in a row reached the store neither directly nor
+    /// through a peer.
+    unreachable_since: Option<Instant>,
 }
 
 /// The store, by the own way or through a peer; clones share the state.
@@ -141,6 +145,7 @@
                     failing_since: None,
                     tried_at: None,
                     timeout: timings.direct_timeout,
+                    unreachable_since: None,
                 }),
             }),
         }
@@ -155,6 +160,12 @@
     }
 
     async fn send(&self, request: RelayRequest) -> Result<RelayAnswer> {
+        let result = self.send_either_way(request).await;
+        self.inner.note_reach(&result);
+        result
+    }
+
+    async fn send_either_way(&self, request: RelayRequest) -> Result<RelayAnswer> {
         let inner = &self.inner;
         if !inner.should_try_own_way(&request) {
             match inner.ask_peers(&request).await {
@@ -213,6 +224,20 @@
         result
     }
 
+    /// Notes whether a request reached the store by any way.
+    fn note_reach(&self, result: &Result<RelayAnswer>) {
+        let mut way = self.way.get();
+        match result {
+            Err(error) if error.kind == ErrorKind::StoreUnavailable => {
+                way.unreachable_since.get_or_insert(clock::now());
+            }
+            // Nobody can tell whether the request has arrived.
+            Err(error) if error.kind == ErrorKind::StoreUnknown => {}
+            Ok(_) | Err(_) => way.unreachable_since = None,
+        }
+        self.way.set(way);
+    }
+
     /// Gives the next answer more time.
     fn be_patient(&self) {
         let mut way = self.way.get();
@@ -299,6 +324,13 @@
     Error::new(ErrorKind::StoreUnknown, detail)
 }
 
+impl Reach for RelayedStore {
+    fn unreachable_for(&self) -> Option<Duration> {
+        let since = self.inner.way.get().unreachable_since?;
+        Some(clock::now().saturating_duration_since(since))
+    }
+}
+
 impl TableStore for RelayedStore {
     fn transact<'a>(
         &'a self,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -39,6 +39,7 @@
 pub use table::Condition;
 pub use table::MAX_TRANSACTION_WRITES;
 pub use table::ObjectStore;
+pub use table::Reach;
 pub use table::Row;
 pub use table::RowVersion;
 pub use table::StoreClock;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -1,5 +1,6 @@
 //! The platform's table service and object store, as this system sees them.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -147,6 +148,13 @@
     }
 }
 
+/// Tells whether the store can be reached.
+pub trait Reach {
+    /// Returns for how long requests have failed to reach the store in every way; `None` while it can be
+    /// reached.
+    fn unreachable_for(&self) -> Option<Duration>;
+}
+
 /// The transactional table service.
 ///
 /// Errors are `store_unavailable` when nothing was written and `store_unknown` when a write may have
