Try a blocked way to the store beside requests, not in their time

The owner learned of no job for 5.4 s although its writes went through peers all the time. Change: while the way is blocked requests go to peers, a short probe of the way runs beside them, and a read that waits for a peer is given up when the way works again. An attempt that its caller gave up after the usual time counts as failed. Ruled out: the lease (held all the time), the peers (they answered every write).

--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -32,6 +32,8 @@
     pub is_down: Rc<Cell<bool>>,
     /// Writes of jobs' progress are refused while this is set.
     pub refuses_progress: Rc<Cell<bool>>,
+    /// The store is down on this way only.
+    pub is_down_here: Rc<Cell<bool>>,
     /// Nobody is answered on this way any more.
     is_closed: Rc<Cell<bool>>,
 }
@@ -47,6 +49,7 @@
     #[must_use]
     pub fn way(&self) -> Self {
         Self {
+            is_down_here: Rc::default(),
             is_closed: Rc::default(),
             ..self.clone()
         }
@@ -61,7 +64,7 @@
         if self.is_closed.get() {
             std::future::pending::<()>().await;
         }
-        if self.is_down.get() {
+        if self.is_down.get() || self.is_down_here.get() {
             return Err(Error::new(ErrorKind::StoreUnavailable, "the store is down"));
         }
         Ok(())
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -1,12 +1,15 @@
 //! The store as a process reaches it, by the own way or through a peer.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::FutureExt;
+use futures_util::future::Either;
 use futures_util::future::LocalBoxFuture;
+use futures_util::future::select;
 use log::info;
 use log::warn;
 
@@ -33,6 +36,8 @@
 
 /// Peers that are asked for one request.
 const PEERS_A_REQUEST: usize = 2;
+/// Interval at which a read that waits for a peer looks whether the own way works again.
+const REGAINED_POLL: Duration = Duration::from_millis(50);
 
 /// Lengths of time of a [`RelayedStore`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -167,8 +172,9 @@
 
     async fn send_either_way(&self, request: RelayRequest) -> Result<RelayAnswer> {
         let inner = &self.inner;
-        if !inner.should_try_own_way(&request) {
-            match inner.ask_peers(&request).await {
+        if inner.way.get().failing_since.is_some() {
+            Inner::probe_if_due(inner, &request);
+            match inner.ask_while_blocked(&request).await {
                 // Only reads try a way that fails: a write that is lost there would leave its caller without
                 // an answer.
                 Err(error) if error.outcome() == Outcome::NotRun && !is_write(&request) => {}
@@ -185,16 +191,44 @@
 }
 
 impl Inner {
-    /// Returns whether the own way works, or is due for another try by a read.
-    fn should_try_own_way(&self, request: &RelayRequest) -> bool {
-        let way = self.way.get();
-        if way.failing_since.is_none() {
-            return true;
-        }
-        let is_due = way.tried_at.is_none_or(|at| {
+    /// Tries the blocked own way beside a request, so that no request waits for it.
+    fn probe_if_due(self: &Rc<Self>, request: &RelayRequest) {
+        let tried_at = self.way.get().tried_at;
+        let is_due = tried_at.is_none_or(|at| {
             clock::now().saturating_duration_since(at) >= self.timings.probe_interval
         });
-        is_due && !is_write(request)
+        let Some(probe) = probe_for(request).filter(|_| is_due) else {
+            return;
+        };
+        let inner = Rc::clone(self);
+        compio::runtime::spawn(async move {
+            // How it went is noted; the answer is of no use.
+            let _ = inner.go_own_way(&probe).await;
+        })
+        .detach();
+    }
+
+    /// Asks peers; a read is given up when the own way works again.
+    async fn ask_while_blocked(&self, request: &RelayRequest) -> Result<RelayAnswer> {
+        if is_write(request) {
+            return self.ask_peers(request).await;
+        }
+        let asked = pin!(self.ask_peers(request));
+        let regained = pin!(self.regained());
+        match select(asked, regained).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                let detail = "the own way to the store works again";
+                Err(Error::new(ErrorKind::StoreUnavailable, detail))
+            }
+        }
+    }
+
+    /// Waits until the own way works.
+    async fn regained(&self) {
+        while self.way.get().failing_since.is_some() {
+            compio::time::sleep(REGAINED_POLL).await;
+        }
     }
 
     async fn go_own_way(&self, request: &RelayRequest) -> Result<RelayAnswer> {
@@ -207,6 +241,12 @@
             feed: &*self.feed,
         };
         let limit = request.wait() + way.timeout;
+        let mut attempt = Attempt {
+            inner: self,
+            sent_at: now,
+            shortest: request.wait() + self.timings.direct_timeout,
+            is_noted: false,
+        };
         let result = match compio::time::timeout(limit, direct.send(request)).await {
             Ok(result) => result,
             Err(_) => {
@@ -214,6 +254,7 @@
                 Err(no_answer(request, limit))
             }
         };
+        attempt.is_noted = true;
         let failed = result.as_ref().is_err_and(|error| {
             matches!(
                 error.kind,
@@ -287,6 +328,42 @@
     }
 }
 
+/// A request on the own way. One that its caller gave up after the usual time has failed.
+struct Attempt<'a> {
+    inner: &'a Inner,
+    sent_at: Instant,
+    /// Time after which an answer is overdue.
+    shortest: Duration,
+    is_noted: bool,
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if !self.is_noted && clock::now().saturating_duration_since(self.sent_at) >= self.shortest {
+            self.inner.be_patient();
+            self.inner.note(self.sent_at, true);
+        }
+    }
+}
+
+/// Returns a request like `request` that the store answers at once; `None` for a write.
+fn probe_for(request: &RelayRequest) -> Option<RelayRequest> {
+    match request {
+        RelayRequest::Transact(_) => None,
+        RelayRequest::Get(keys) => Some(RelayRequest::Get(keys.clone())),
+        RelayRequest::Page { prefix, after, .. } => Some(RelayRequest::Page {
+            prefix: prefix.clone(),
+            after: after.clone(),
+            limit: 1,
+        }),
+        RelayRequest::Changes { prefix, after, .. } => Some(RelayRequest::Changes {
+            prefix: prefix.clone(),
+            after: *after,
+            wait_ms: 0,
+        }),
+    }
+}
+
 fn is_write(request: &RelayRequest) -> bool {
     matches!(request, RelayRequest::Transact(_))
 }
