--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -38,6 +38,7 @@
 use nutmegwalk_policy::Subject;
 use nutmegwalk_store::Transaction;
 use nutmegwalk_supervisor::SupervisorTimings;
+use nutmegwalk_workload::AdvicePolicy;
 use nutmegwalk_workload::CustomerPolicy;
 use nutmegwalk_workload::JobConfiguration;
 use nutmegwalk_workload::JobSpec;
@@ -56,7 +57,7 @@
 /// Longest lease of the workers here.
 pub(crate) const MAX_LEASE: Duration = Duration::from_millis(2_500);
 
-/// A queue of each priority, `urgent` and `normal`, and the customer `mill` with key `key`.
+/// A queue of each priority, `urgent` and `normal`, one whose workers are restricted by advice, and the customer `mill` with key `key`.
 struct TestRows;
 
 fn queue(name: &str, priority: u32) -> Queue {
@@ -96,7 +97,13 @@
                 .map_err(|_| Error::new(ErrorKind::InvalidConfiguration, "no version"))?,
             ..JobConfiguration::default()
         };
-        for queue in [queue("urgent", 0), queue("normal", 1)] {
+        let mut advised = queue("advised", 1);
+        advised.policy.advice = Some(AdvicePolicy {
+            decide_ms: 10,
+            each_ms: 1,
+            valid_ms: 1_000,
+        });
+        for queue in [queue("urgent", 0), queue("normal", 1), advised] {
             configuration.queues.insert(queue.name.clone(), queue);
         }
         configuration
@@ -242,6 +249,16 @@
             .expect("the store is there");
     }
 
+    /// Submits a job that has to be refused, and returns the error.
+    pub(crate) async fn refusal(&self, queue: &str, id: &str) -> Error {
+        let caller = self.caller(queue);
+        let result = self
+            .entry
+            .intake()
+            .submit(&caller, id, job(1, 10), CALL_LIMIT);
+        result.await.expect_err("the job is refused")
+    }
+
     /// Submits a job until it is refused as not run, for a reason that contains `reason`.
     pub(crate) async fn until_refused(&self, queue: &str, id: &str, reason: &str) {
         let caller = self.caller(queue);
--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -9,6 +9,8 @@
 use common::job;
 use common::run;
 
+use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
 use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_workload::JobState;
 use nutmegwalk_workload::StepSpec;
@@ -78,6 +80,14 @@
         site.check();
     }
 
+    // Guards against a job that is accepted although no worker will ever start it.
+    job_that_needs_advice_is_refused_at_once => {
+        let site = Site::start(1).await;
+        let error = site.refusal("advised", "a").await;
+        assert_eq!(error.kind, ErrorKind::Unsupported);
+        assert_eq!(error.outcome(), Outcome::NotRun);
+    }
+
     // Guards against callers that are held for a store that is known to be out of reach, and against a
     // refusal that outlasts the outage.
     callers_are_refused_at_once_during_an_outage => {
--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -102,6 +102,8 @@
     GuaranteesClash => "guarantees_clash", 422, 5, NotRun;
     /// The job could not run even on empty hardware.
     NeverFits => "never_fits", 422, 8, NotRun;
+    /// The job asks for something that this system cannot do.
+    Unsupported => "unsupported", 501, 8, NotRun;
     /// The customer is over its limit.
     RateLimited => "rate_limited", 429, 9, NotRun;
     /// The queue is full or the deadline cannot be met.
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -107,6 +107,10 @@
         if let Err(problem) = spec.check() {
             return Err(Error::new(ErrorKind::BadRequest, problem.to_string()));
         }
+        if caller.queue.policy.advice.is_some() {
+            let detail = "the queue restricts its workers by advice, which is not asked for";
+            return Err(Error::new(ErrorKind::Unsupported, detail));
+        }
         let record = JobRecord {
             customer: caller.customer.clone(),
             queue: caller.queue.name.clone(),
