--- a/crates/base/tests/interfaces.rs
+++ b/crates/base/tests/interfaces.rs
@@ -1,6 +1,7 @@
-//! Holds the table of error kinds in the documentation against the code.
+//! Holds the tables of error kinds and events in the documentation against the code.
 
 use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::event;
 
 /// Guards against a documented status, exit code or outcome that the code does not give.
 #[rstest::rstest]
@@ -34,3 +35,20 @@
         .collect();
     assert_eq!(documented, coded);
 }
+
+/// Guards against an event in logs that the page for engineers on call does not explain.
+#[rstest::rstest]
+fn documented_events_match_the_code() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let document = std::fs::read_to_string(path).unwrap();
+    let (_, table) = document.split_once("## Events").unwrap();
+    let documented: Vec<&str> = table
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let coded: Vec<String> = event::ALL
+        .iter()
+        .map(|event| format!("| `{}` | {} |", event.name, event.meaning))
+        .collect();
+    assert_eq!(documented, coded);
+}
--- a/crates/placement/src/leaving.rs
+++ b/crates/placement/src/leaving.rs
@@ -8,9 +8,10 @@
 
 use crate::RunningUnit;
 use crate::Snapshot;
+use crate::profile::STOPPING;
 
 /// Time for which a worker usually stays beyond the time that it announced. Work that would be lost by a
-/// move is left to end within it.
+/// move is left to end within it; other work moves unless it ends while it is being stopped.
 const LINGER: Duration = Duration::from_secs(1);
 
 /// Returns the positions in [`Snapshot::running`] of the runs that have to move.
@@ -22,7 +23,7 @@
             .filter_map(|(worker, _)| snapshot.workers[*worker].leaves_in)
             .min();
         let linger = if running.has_checkpoints {
-            Duration::ZERO
+            STOPPING
         } else {
             LINGER
         };
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -143,6 +143,14 @@
         assert!(plan(&scene.snapshot).moves.is_empty());
     }
 
+    // Guards against a stop of a run that is about to end by itself on a worker that may stay longer.
+    run_that_is_about_to_end_does_not_move => {
+        let mut scene = Scene::new(1, 2);
+        scene.run("job", 4, 1, Duration::from_millis(100)).has_checkpoints = true;
+        scene.snapshot.workers[0].leaves_in = Some(Duration::ZERO);
+        assert!(plan(&scene.snapshot).moves.is_empty());
+    }
+
     // Guards against a move that throws away work that may still end in time.
     run_without_checkpoints_moves_only_when_it_is_lost_otherwise => {
         for (remaining_ms, expected) in [(2_500, 0), (3_500, 1)] {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -126,6 +126,12 @@
         #[command(flatten)]
         connection: Connection,
     },
+    /// Reads the logs of processes.
+    Logs {
+        /// What to do with them.
+        #[command(subcommand)]
+        command: LogsCommand,
+    },
     /// Runs the whole product in one process on loopback with the examples and a sample load.
     Dev {
         /// Directories to publish; the examples of the Joint Venture by default.
@@ -142,3 +148,18 @@
         seed: u64,
     },
 }
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum LogsCommand {
+    /// Prints all lines about a job in the order of time.
+    Explain {
+        /// Id of the job.
+        job: Box<str>,
+        /// Files with the logs, one a process.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Prints JSON for programs in place of a table.
+        #[arg(long)]
+        json: bool,
+    },
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod commands;
 mod dev;
+mod logs;
 mod table;
 
 use std::process::ExitCode;
@@ -12,6 +13,7 @@
 
 use crate::cli::Cli;
 use crate::cli::Command;
+use crate::cli::LogsCommand;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
@@ -26,6 +28,9 @@
             json,
             seed,
         } => dev::run(&directories, keep, json, seed),
+        Command::Logs {
+            command: LogsCommand::Explain { job, files, json },
+        } => logs::explain(&job, &files, json),
         connected => compio::runtime::Runtime::new()
             .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))
             .and_then(|runtime| runtime.block_on(run_connected(connected))),
@@ -64,6 +69,6 @@
         Command::Job { job, connection } => commands::job(&job, connection).await,
         Command::Explain { job, connection } => commands::explain(&job, connection).await,
         Command::Cancel { job, connection } => commands::cancel(&job, connection).await,
-        Command::Check { .. } | Command::Dev { .. } => Ok(()),
+        Command::Check { .. } | Command::Dev { .. } | Command::Logs { .. } => Ok(()),
     }
 }
