Start runs elsewhere that stand still

Cause: a worker whose tasks make no progress and that renews its lease held a job up for as long as it lived; nothing looked at the progress that workers list. Change: placement::stall judges a task by the time for which lists have shown the same progress (2 s, or 8% of the expected run time; three times that when half of it would be lost). Such a run is stopped, the unit avoids these workers, and a worker that is surely to blame counts a failure. Kept for the cause; run_that_stands_still_starts_elsewhere never ends without it.

--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -80,6 +80,19 @@
         site.check();
     }
 
+    // Guards against a job that is held up for as long as a worker lives that does no work.
+    run_that_stands_still_starts_elsewhere => {
+        let site = Site::start(2).await;
+        site.submit("normal", "a", job(1, 2_000)).await;
+        site.until_begun("a.0.0.0", 1).await;
+        let host = site.host_of("a.0.0.0");
+        site.hosts[host].worker.faults.hangs.set(true);
+        site.until_begun("a.0.0.0", 2).await;
+        assert_ne!(site.host_of("a.0.0.0"), host);
+        site.until_state("normal", "a", JobState::Completed).await;
+        site.check();
+    }
+
     // Guards against a job that is accepted although no worker will ever start it.
     job_that_needs_advice_is_refused_at_once => {
         let site = Site::start(1).await;
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -125,6 +125,8 @@
     RUN_MOVED = "run_moved";
     /// The owner stops a run that did not start in time on all its workers.
     RUN_LATE = "run_late";
+    /// The owner stops a run that makes no progress, to start it elsewhere.
+    RUN_STALLED = "run_stalled";
     /// The owner has learned of the end of a run.
     RUN_ENDED = "run_ended";
     /// The owner has found that the runs on a worker are lost.
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -1,6 +1,7 @@
 //! A job in the owner's memory.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use nutmegwalk_placement::WaitReason;
@@ -52,6 +53,10 @@
     /// When the state was entered.
     pub(crate) since: Instant,
     pub(crate) progress_percent: u32,
+    /// When the worker first listed this progress.
+    pub(crate) progress_since: Option<Instant>,
+    /// When the worker last listed the task.
+    pub(crate) listed_at: Option<Instant>,
     pub(crate) checkpoint: Option<Box<str>>,
     /// When the checkpoint last changed.
     pub(crate) checkpoint_at: Option<Instant>,
@@ -66,11 +71,31 @@
             stop: StopState::None,
             since: now,
             progress_percent: 0,
+            progress_since: None,
+            listed_at: None,
             checkpoint: None,
             checkpoint_at: None,
         }
     }
 
+    /// Takes in the progress that the worker listed at `listed_at`.
+    pub(crate) fn note_progress(&mut self, percent: u32, listed_at: Instant) {
+        if percent != self.progress_percent || self.progress_since.is_none() {
+            self.progress_percent = percent;
+            self.progress_since = Some(listed_at);
+        }
+        self.listed_at = Some(listed_at);
+    }
+
+    /// Returns for how long the worker has listed the same progress since `whole_since`.
+    pub(crate) fn unchanged_for(&self, whole_since: Instant) -> Duration {
+        let since = self.progress_since.map(|since| since.max(whole_since));
+        match (since, self.listed_at) {
+            (Some(since), Some(listed_at)) => listed_at.saturating_duration_since(since),
+            _ => Duration::ZERO,
+        }
+    }
+
     pub(crate) fn enter(&mut self, state: SeatState, now: Instant) {
         if self.state != state {
             self.state = state;
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -9,6 +9,7 @@
 
 use crate::job::Job;
 use crate::job::LiveRun;
+use crate::job::Seat;
 use crate::job::SeatState;
 use crate::job::StopState;
 use crate::metrics::DecisionFigures;
@@ -19,6 +20,7 @@
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::Start;
+use nutmegwalk_placement::TaskProgress;
 use nutmegwalk_placement::Waiting;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::plan;
@@ -90,9 +92,73 @@
             warn!(target: event::RUN_LATE, unit:% = unit, run = run; "the run did not start in time on all workers, stopping it");
             self.stop_run(&unit, run);
         }
+        for (unit, run, workers) in self.stalled_runs() {
+            self.give_up_stalled(&unit, run, &workers);
+        }
         self.repeat_stops(now);
     }
 
+    /// Returns the runs that stand still, with the workers of their tasks that do.
+    fn stalled_runs(&self) -> Vec<(UnitId, Run, Vec<WorkerRef>)> {
+        let state = self.state.borrow();
+        let mut stalled = Vec::new();
+        for job in state.jobs.values() {
+            for (unit, live) in &job.units {
+                let step = job.step_of(unit);
+                if step.is_lasting || step.is_filler {
+                    continue;
+                }
+                let run_time = state
+                    .run_times
+                    .expected(&job.record.queue, step.estimate_ms);
+                let is_stalled = |seat: &&Seat, whole_since: Instant| {
+                    let progress = TaskProgress {
+                        percent: seat.progress_percent,
+                        unchanged_for: seat.unchanged_for(whole_since),
+                        has_checkpoints: step.has_checkpoints,
+                        run_time,
+                    };
+                    progress.is_stalled()
+                };
+                for run in live.runs.iter().filter(|run| !run.is_stopping()) {
+                    let Some(whole_since) = run.whole_since else {
+                        continue;
+                    };
+                    let seats = run.seats.iter();
+                    let workers: Vec<WorkerRef> = seats
+                        .filter(|seat| is_stalled(seat, whole_since))
+                        .map(|seat| seat.worker.clone())
+                        .collect();
+                    if !workers.is_empty() {
+                        stalled.push((unit.clone(), run.run, workers));
+                    }
+                }
+            }
+        }
+        stalled
+    }
+
+    /// Stops a run that stands still and has it start on other workers.
+    fn give_up_stalled(&self, unit: &UnitId, run: Run, workers: &[WorkerRef]) {
+        let names: Vec<&str> = workers.iter().map(|worker| &*worker.id).collect();
+        warn!(target: event::RUN_STALLED,
+            unit:% = unit,
+            run = run,
+            workers = names.join(" ").as_str();
+            "the run makes no progress, stopping it"
+        );
+        if let Some(job) = self.state.borrow_mut().jobs.get_mut(&unit.job)
+            && let Some(live) = job.units.get_mut(unit)
+        {
+            live.failed_on.extend_from_slice(workers);
+        }
+        // The members of a gang stand still together, so nobody can tell which worker is to blame.
+        if let [worker] = workers {
+            self.note_failure(worker);
+        }
+        self.stop_run(unit, run);
+    }
+
     /// Returns the runs that did not start in time on all their workers.
     fn late_runs(&self, now: Instant) -> Vec<(UnitId, Run)> {
         let state = self.state.borrow();
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -204,8 +204,10 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let mut strays = BTreeMap::new();
+        let answer_age = Duration::from_millis(status.answer_age_ms.unwrap_or(0));
+        let listed_at = now.checked_sub(answer_age).unwrap_or(now);
         for task in &status.running {
-            if !state.note_running(worker, task, &self.metrics, now) {
+            if !state.note_running(worker, task, &self.metrics, listed_at, now) {
                 let demand = state.demand_of(&task.run);
                 strays.insert(task.run.clone(), Stray { demand });
             }
@@ -278,6 +280,7 @@
         worker: &WorkerRef,
         task: &RunningTask,
         metrics: &DomainMetrics,
+        listed_at: Instant,
         now: Instant,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(&task.run.task.job) else {
@@ -293,7 +296,7 @@
             return false;
         }
         seat.enter(SeatState::Running, now);
-        seat.progress_percent = task.progress_percent;
+        seat.note_progress(task.progress_percent, listed_at);
         if task.checkpoint.is_some() && task.checkpoint != seat.checkpoint {
             seat.checkpoint.clone_from(&task.checkpoint);
             seat.checkpoint_at = Some(now);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod profile;
 mod rank;
 mod run_time;
+mod stall;
 mod view;
 
 pub use baseline::first_fit;
@@ -20,6 +21,7 @@
 pub use health::WorkerHealth;
 pub use plan::plan;
 pub use run_time::RunTimes;
+pub use stall::TaskProgress;
 pub use view::Plan;
 pub use view::Preemption;
 pub use view::RunningUnit;
