--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -16,7 +16,7 @@
     Began,
     /// A run ended.
     Ended(EndKind),
-    /// An end was acknowledged.
+    /// An end was acknowledged, and the lease had not lapsed since it was listed.
     Noted(EndKind),
 }
 
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -94,6 +94,8 @@
     /// Highest run of each task that was stopped or has ended here.
     closed: BTreeMap<TaskId, u32>,
     next_end: u64,
+    /// Ends up to this number were listed when the lease lapsed; to note them says nothing any more.
+    lapsed_ends: u64,
     sequence: u64,
 }
 
@@ -236,6 +238,9 @@
         let passed = now.saturating_duration_since(life.ticked_at);
         life.ticked_at = now;
         let has_lapsed = life.clock_ms(now) > life.lease_until_ms;
+        if has_lapsed {
+            life.lapsed_ends = life.next_end - 1;
+        }
         for mut running in std::mem::take(&mut life.running) {
             let end = if has_lapsed {
                 Some(EndKind::LeaseLapsed)
@@ -371,11 +376,12 @@
     /// Renews the lease and forgets acknowledged ends.
     pub(crate) fn renew(&self, request: &HoldRequest) {
         let mut life = self.life.borrow_mut();
-        let (noted, kept) = std::mem::take(&mut life.ended)
+        let (noted, kept): (Vec<EndedTask>, _) = std::mem::take(&mut life.ended)
             .into_iter()
             .partition(|end| end.number <= request.acknowledged);
         life.ended = kept;
-        for end in noted {
+        let lapsed_ends = life.lapsed_ends;
+        for end in noted.into_iter().filter(|end| end.number > lapsed_ends) {
             let event = Event::Noted(end.kind);
             self.record.push(&self.setup.machine, end.run, event);
         }
@@ -446,6 +452,7 @@
             ended: Vec::new(),
             closed: BTreeMap::new(),
             next_end: 1,
+            lapsed_ends: 0,
             sequence: 0,
         }
     }
