--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -136,31 +136,35 @@
             .map(|worker| worker.capacity)
             .collect();
         let fits = |locality: &Locality| {
-            let places = place(
-                self.snapshot,
-                step,
-                &empty,
-                &rest.allowance,
-                rest.tasks,
-                *locality,
-            );
+            let places = self.places(step, &empty, rest, *locality);
             !places.is_empty()
         };
         [Locality::Near, Locality::Any].into_iter().find(fits)
     }
 
-    /// Starts what fits now without delaying a more urgent step.
-    fn start(&mut self, index: usize, rest: &mut Rest, locality: Locality) {
-        let step = &self.snapshot.waiting[index];
-        let room = self.profile.room(Duration::ZERO, step.run_time);
-        let places = place(
+    /// Returns workers in `room` for the rest of a step.
+    fn places(
+        &self,
+        step: &WaitingStep,
+        room: &Room,
+        rest: &Rest,
+        locality: Locality,
+    ) -> Vec<usize> {
+        place(
             self.snapshot,
             step,
-            &room,
+            room,
             &rest.allowance,
             rest.tasks,
             locality,
-        );
+        )
+    }
+
+    /// Starts what fits now without delaying a more urgent step.
+    fn start(&mut self, index: usize, rest: &mut Rest, locality: Locality) {
+        let step = &self.snapshot.waiting[index];
+        let room = self.profile.room(Duration::ZERO, step.run_time);
+        let places = self.places(step, &room, rest, locality);
         self.start_at(index, rest, &places, step.run_time);
     }
 
@@ -191,14 +195,7 @@
         let mut profile = self.profile.clone();
         for time in &self.profile.times()[1..] {
             let room = profile.room(*time, step.run_time);
-            let places = place(
-                self.snapshot,
-                step,
-                &room,
-                &rest.allowance,
-                rest.tasks,
-                locality,
-            );
+            let places = self.places(step, &room, &rest, locality);
             if places.is_empty() {
                 continue;
             }
@@ -253,14 +250,7 @@
                 beneficiary: index,
             });
         }
-        let places = place(
-            self.snapshot,
-            step,
-            &room,
-            &rest.allowance,
-            rest.tasks,
-            locality,
-        );
+        let places = self.places(step, &room, rest, locality);
         self.profile
             .take(&places, step.demand, STOPPING, step.run_time);
         self.wait(index, rest.tasks, WaitReason::Planned, Some(STOPPING));
@@ -294,14 +284,7 @@
             return false;
         }
         let room = self.profile.room(Duration::ZERO, spread_time);
-        let places = place(
-            self.snapshot,
-            step,
-            &room,
-            &rest.allowance,
-            rest.tasks,
-            Locality::Any,
-        );
+        let places = self.places(step, &room, rest, Locality::Any);
         if places.len() < rest.tasks as usize {
             return false;
         }
