Give the passing of time a module of its own in the domain's owner

planning.rs held decisions, their execution, and everything that follows from time alone (dead workers, late and stalled runs, repeated stops); oversight.rs takes the last.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,6 +10,7 @@
 mod job;
 mod journal;
 mod metrics;
+mod oversight;
 mod owner;
 mod planning;
 mod replica;
