Cancel a job only if its progress is as the entry host knows it

Change: the cancellation is written on the condition that the progress row is the one that the host knows; after a rejection the rows are read and judged anew. Ruled out: the owner, which completes a job only if no cancellation is stored.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -50,6 +50,10 @@
 /// the caller can still try another host.
 const STORE_SHARE: f64 = 0.45;
 
+/// Tries to store a cancellation, each with the job's progress read anew; progress changes with each end of
+/// a run, far less often than a try takes.
+const CANCEL_TRIES: usize = 4;
+
 /// The callers' side of a domain.
 pub struct Intake {
     settings: IntakeSettings,
@@ -187,36 +191,43 @@
     }
 
     async fn store_wish(&self, caller: &Caller, id: &str, limit: Duration) -> Result<()> {
-        let known = self.own_job(caller, id, limit).await?;
-        match known.state() {
-            JobState::Cancelled => return Ok(()),
-            JobState::Completed | JobState::Failed => {
-                let detail = format!("job {id} has ended");
-                return Err(Error::new(ErrorKind::NotFound, detail));
-            }
-            JobState::Pending | JobState::Running => {}
-        }
-        let key = JobRow::Cancelled.key(id);
-        let transaction = Transaction::new()
-            .with_absent(key.clone())
-            .with_put(key, "{}");
+        let mut known = self.own_job(caller, id, limit).await?;
         let deadline = self.store_deadline(limit)?;
-        let outcome = self
-            .store
-            .transact(Duty::Acceptance, &transaction, deadline)
-            .await;
-        match outcome {
-            // A rejection means that the wish is there already.
-            Ok(_) => {
-                info!(target: event::CANCEL_STORED, job = id; "");
-                self.view.note_cancelled(id);
-                Ok(())
+        for _ in 0..CANCEL_TRIES {
+            match known.state() {
+                JobState::Cancelled => return Ok(()),
+                JobState::Completed | JobState::Failed => {
+                    let detail = format!("job {id} has ended");
+                    return Err(Error::new(ErrorKind::NotFound, detail));
+                }
+                JobState::Pending | JobState::Running => {}
             }
-            Err(error) => {
-                warn!(target: event::CANCEL_NOT_STORED, job = id, outcome = error.outcome().name(); "not cancelled: {error}");
-                Err(error)
+            let wish = cancellation(id, &known);
+            match self.store.transact(Duty::Acceptance, &wish, deadline).await {
+                Ok(TransactionOutcome::Committed { .. }) => {
+                    info!(target: event::CANCEL_STORED, job = id; "");
+                    self.view.note_cancelled(id);
+                    return Ok(());
+                }
+                // The job has moved on, possibly to its end, or another call has cancelled it.
+                Ok(TransactionOutcome::Rejected { .. }) => {
+                    known = self
+                        .find(id, deadline)
+                        .await?
+                        .ok_or_else(|| unknown_job(id))?;
+                }
+                Err(error) => {
+                    warn!(target: event::CANCEL_NOT_STORED, job = id, outcome = error.outcome().name(); "not cancelled: {error}");
+                    return Err(error);
+                }
             }
         }
+        let error = Error::new(
+            ErrorKind::StoreUnavailable,
+            "the job's progress changes too often",
+        );
+        warn!(target: event::CANCEL_NOT_STORED, job = id, outcome = error.outcome().name(); "not cancelled: {error}");
+        Err(error)
     }
 
     /// Returns the number of the queue's accepted jobs of which no task was started.
@@ -270,7 +281,7 @@
         };
         found
             .filter(|job| job.customer == caller.customer)
-            .ok_or_else(|| Error::new(ErrorKind::NotFound, format!("there is no job {id}")))
+            .ok_or_else(|| unknown_job(id))
     }
 
     /// Reads a job from the store, for one that the feed has not shown yet.
@@ -282,3 +293,17 @@
         Ok(self.view.get(id))
     }
 }
+
+/// Returns the transaction that cancels a job whose progress is still as it is known.
+fn cancellation(id: &str, known: &KnownJob) -> Transaction {
+    let (key, progress) = (JobRow::Cancelled.key(id), JobRow::Progress.key(id));
+    let transaction = match known.progress_version() {
+        None => Transaction::new().with_absent(progress),
+        Some(version) => Transaction::new().with_version(progress, version),
+    };
+    transaction.with_absent(key.clone()).with_put(key, "{}")
+}
+
+fn unknown_job(id: &str) -> Error {
+    Error::new(ErrorKind::NotFound, format!("there is no job {id}"))
+}
--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns the version of the progress row; `None` when there was none.
+    pub(crate) fn progress_version(&self) -> Option<RowVersion> {
+        (self.progress_version > 0).then_some(self.progress_version)
+    }
+
     /// Returns the state that the submitter is told.
     #[must_use]
     pub fn state(&self) -> JobState {
