--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -44,7 +44,8 @@
     pub answer_timeout: Duration,
     /// Pause after a failed look.
     pub retry_pause: Duration,
-    /// Time without an answer after which the lease is not renewed until the worker answers again.
+    /// Time without an answer after which a start, which would renew the lease too, is not sent until the
+    /// worker answers again; looks stop renewing it after the first that is not answered.
     pub mute_after: Duration,
 }
 
