Let the owner's work follow the changes, not the size of the domain

Cause: on the large site (290 agents) the one owner used 0.140 of its 0.15 cores. Every report scanned all assignments of all jobs (missing runs, superseded workers), all agents twice (standbys, peers) and woke the planner, which again scanned all jobs, ended ones included, and counted each job's capacity over all workers. Each order to one worker scanned all jobs, too. Half of the jobs started 7 s after they were handed in.

Change: an index from workers to runs; superseded workers are looked for when an agent reports another worker than before; standbys and peers come from a directory that is rebuilt every 250 ms; capacity is counted once for each size of task; the planner wakes only when something changed that a decision depends on, checks timeouts every 100 ms, and pauses after a decision for as long as it took (150 ms at most).

Ruled out: a slow store and slow workers (the mean agent used 0.003 cores, entry hosts 0.007).

--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -8,11 +8,10 @@
 use log::warn;
 
 use crate::job::AssignmentState;
-use crate::job::Job;
 use crate::job::StopState;
+use crate::term::State;
 use crate::term::Term;
 use nutmegwalk_base::ErrorKind;
-use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_supervisor::Orders;
@@ -76,8 +75,9 @@
         };
         let is_answered = match result {
             Ok(answer) => {
-                known.unreachable_since = None;
+                let is_usable_again = known.unreachable_since.take().is_some();
                 known.sent_acknowledged = known.sent_acknowledged.max(orders.acknowledged);
+                state.needs_decision |= is_usable_again;
                 drop(state);
                 self.apply_results(worker, &answer);
                 let is_unknown = |result: &StartResult| result.outcome == TaskOutcome::Unknown;
@@ -114,9 +114,7 @@
         }
         let mut starts = BTreeMap::new();
         let mut stops: Vec<TaskRun> = known.unexpected_runs.keys().cloned().collect();
-        for (id, job) in &state.jobs {
-            collect_orders(id, job, worker, &mut starts, &mut stops);
-        }
+        collect_orders(&state, worker, &mut starts, &mut stops);
         if !self.is_valid() {
             // Without a valid lease only orders that stop runs may be sent.
             starts.clear();
@@ -208,7 +206,8 @@
             if let Some(known) = state.workers.get_mut(&worker.id)
                 && result.outcome != TaskOutcome::Unknown
             {
-                known.unexpected_runs.remove(&result.run);
+                let is_known = known.unexpected_runs.remove(&result.run).is_some();
+                state.needs_decision |= is_known;
             }
         }
         match result.outcome {
@@ -280,15 +279,17 @@
     }
 }
 
-/// Collects the orders of one job for a worker.
+/// Collects the orders for a worker.
 fn collect_orders(
-    id: &JobId,
-    job: &Job,
+    state: &State,
     worker: &WorkerRef,
     starts: &mut BTreeMap<(UnitId, Run), StartOrder>,
     stops: &mut Vec<TaskRun>,
 ) {
-    for (unit, run, assignment) in job.assignments_on(worker) {
+    for (unit, run, assignment) in state.assignments_on(worker) {
+        let Some(job) = state.jobs.get(&unit.job) else {
+            continue;
+        };
         if assignment.state == AssignmentState::Ended {
             continue;
         }
@@ -301,7 +302,7 @@
         {
             let key = (unit.clone(), run.run);
             let order = starts.entry(key).or_insert_with(|| StartOrder {
-                job: id.clone(),
+                job: unit.job.clone(),
                 occurrence: unit.occurrence,
                 step: unit.step,
                 tasks: Vec::new(),
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -270,21 +270,6 @@
         }
     }
 
-    /// Returns the assignments of the job's tasks to a worker, with their units and runs.
-    pub(crate) fn assignments_on<'a>(
-        &'a self,
-        worker: &'a WorkerRef,
-    ) -> impl Iterator<Item = (&'a UnitId, &'a LiveRun, &'a Assignment)> {
-        self.units.iter().flat_map(move |(unit, live)| {
-            live.runs.iter().flat_map(move |run| {
-                run.assignments
-                    .iter()
-                    .filter(move |assignment| assignment.worker == *worker)
-                    .map(move |assignment| (unit, run, assignment))
-            })
-        })
-    }
-
     /// Returns the assignment of a task in a run of its unit.
     pub(crate) fn assignment_mut(
         &mut self,
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -5,7 +5,9 @@
 //! with `nutmegwalk-placement`, stores every run before it is first started, and sends orders to the agents.
 //! A new owner rebuilds this state from the store and the reports.
 
+mod capacity;
 mod cleanup;
+mod directory;
 mod dispatch;
 mod job;
 mod metrics;
@@ -15,6 +17,7 @@
 mod progress_writer;
 mod replica;
 mod report;
+mod run_index;
 mod settings;
 mod snapshot;
 mod term;
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -10,6 +10,7 @@
 use crate::job::Job;
 use crate::job::LiveRun;
 use crate::metrics::DecisionStats;
+use crate::run_index::RunIndex;
 use crate::term::Term;
 use crate::term::as_ms;
 use nutmegwalk_base::clock;
@@ -30,23 +31,37 @@
 const DECISION_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause between two decisions, so that a burst of events leads to a single decision.
 const MIN_DECISION_PAUSE: Duration = Duration::from_millis(3);
+/// Longest pause between two decisions of a busy owner; short against the time within which urgent jobs start.
+const MAX_DECISION_PAUSE: Duration = Duration::from_millis(150);
+/// Interval at which timeouts are checked.
+const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum time for which a new owner waits for reports of the workers that have inherited runs.
 const INHERITED_REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which a new owner waits for reports even if there are no inherited runs.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(250);
 
 impl Term {
-    /// Checks timeouts and makes a decision after every change, until the task is dropped.
+    /// Checks timeouts and makes decisions after changes, until the task is dropped.
     pub(crate) async fn run_planner(self: Rc<Self>) {
+        let mut timeouts_checked_at = None;
         loop {
             // The timeout is the normal case without changes.
             let _ = compio::time::timeout(DECISION_INTERVAL, self.wake.raised()).await;
-            self.check_timeouts();
+            let begun_at = clock::now();
+            let is_check_due = timeouts_checked_at
+                .is_none_or(|at| begun_at.saturating_duration_since(at) >= TIMEOUT_CHECK_INTERVAL);
+            if is_check_due {
+                timeouts_checked_at = Some(begun_at);
+                self.check_timeouts();
+            }
             if self.may_start() {
                 self.plan_and_apply();
             }
             self.flush_without_wake();
+            self.state.borrow_mut().needs_decision = false;
             compio::time::sleep(MIN_DECISION_PAUSE).await;
+            let taken = clock::now().saturating_duration_since(begun_at);
+            compio::time::sleep(pause_after(taken)).await;
         }
     }
 
@@ -141,6 +156,7 @@
     fn start(&self, snapshot: &Snapshot, start: &Start, worker_refs: &[WorkerRef], now: Instant) {
         let step = &snapshot.waiting[start.step];
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         let Some(job) = state.jobs.get_mut(&step.job) else {
             return;
         };
@@ -154,12 +170,20 @@
         if step.is_gang {
             let unit = unit_id(step, None);
             let workers = assignments().map(|(_, worker)| worker.clone()).collect();
-            runs.push(begin_run(job, unit, workers, step.is_guaranteed, now));
+            runs.push(begin_run(
+                job,
+                &mut state.runs,
+                unit,
+                workers,
+                step.is_guaranteed,
+                now,
+            ));
         } else {
             for (task, worker) in assignments() {
                 let unit = unit_id(step, Some(task));
                 runs.push(begin_run(
                     job,
+                    &mut state.runs,
                     unit,
                     vec![worker.clone()],
                     step.is_guaranteed,
@@ -211,6 +235,16 @@
     }
 }
 
+/// Returns the pause after a decision that took `taken`, with the time that other work of the process delayed it.
+///
+/// A busy owner decides less often, so that reports, orders and the renewal of its lease get at least half of its
+/// processor time.
+fn pause_after(taken: Duration) -> Duration {
+    taken
+        .saturating_sub(MIN_DECISION_PAUSE)
+        .min(MAX_DECISION_PAUSE)
+}
+
 /// Returns the size of the input of a decision.
 fn decision_stats(snapshot: &Snapshot) -> DecisionStats {
     let open = || {
@@ -233,6 +267,7 @@
 /// Adds a run to the job's progress. It is started once that is stored.
 fn begin_run(
     job: &mut Job,
+    index: &mut RunIndex,
     unit: UnitId,
     workers: Vec<WorkerRef>,
     is_guaranteed: bool,
@@ -258,6 +293,7 @@
     );
     live.resumed_from = checkpoint;
     live.is_guaranteed = is_guaranteed;
+    index.insert(&unit, &live);
     job.units.entry(unit).or_default().runs.push(live);
     run
 }
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -81,7 +81,11 @@
             ""
         );
         let job = Job::new(record, now.checked_sub(age).unwrap_or(now));
-        self.term.state.borrow_mut().jobs.insert(id.clone(), job);
+        {
+            let mut state = self.term.state.borrow_mut();
+            state.jobs.insert(id.clone(), job);
+            state.needs_decision = true;
+        }
         if self.early_cancels.borrow().contains(id) {
             self.term.cancel(id);
         }
@@ -107,11 +111,17 @@
             }
         };
         let mut state = self.term.state.borrow_mut();
+        let state = &mut *state;
         if let Some(job) = state.jobs.get_mut(id)
             && job.stored_version.is_none()
             && job.revision == 0
         {
             job.inherit(id, progress, row.version, clock::now());
+            for (unit, live) in &job.units {
+                for run in &live.runs {
+                    state.runs.insert(unit, run);
+                }
+            }
         }
     }
 }
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -10,6 +10,7 @@
 use log::info;
 use log::warn;
 
+use crate::directory::AgentDirectory;
 use crate::job::AssignmentState;
 use crate::job::StopState;
 use crate::metrics::DomainMetrics;
@@ -19,7 +20,6 @@
 use crate::worker::AgentInfo;
 use crate::worker::UnexpectedRun;
 use crate::worker::Worker;
-use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
@@ -33,23 +33,29 @@
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::WorkerRef;
 
-/// Maximum number of standby agents for the ownership, each in a different data centre.
-const MAX_STANDBYS: usize = 2;
-/// Maximum number of peers in an answer, enough that one of them stays reachable in most network partitions.
-const MAX_PEERS: usize = 4;
-/// Time without a report after which an agent is no longer offered as a peer or standby.
-const AGENT_REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a report that was sent before a start can still arrive after it.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(1_500);
 
+/// What a report says about the worker of its agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Freshness {
+    /// The worker is the one that the agent reported last.
+    SameWorker,
+    /// The agent reported another worker, another incarnation or none before.
+    OtherWorker,
+}
+
 impl Term {
     /// Applies a report and returns the answer.
     pub(crate) fn apply_report(self: &Rc<Self>, report: &Report) -> ReportAnswer {
         let now = clock::now();
         self.wall_clock.observe(&report.agent, report.unix_ms);
-        if self.record_agent(report, now)
+        if let Some(freshness) = self.record_agent(report, now)
             && let Some(status) = &report.worker
         {
+            if freshness == Freshness::OtherWorker {
+                self.end_superseded_workers(report, &status.announcement.worker);
+            }
             self.record_worker(report, status, now);
             self.apply_ends(status);
             self.reconcile_runs(status, now);
@@ -65,34 +71,37 @@
         self.answer(report, now)
     }
 
-    /// Records the agent; returns false if a later report of the same incarnation was received before.
-    fn record_agent(&self, report: &Report, now: Instant) -> bool {
+    /// Records the agent; `None` if a later report of the same incarnation was received before.
+    fn record_agent(&self, report: &Report, now: Instant) -> Option<Freshness> {
         let mut state = self.state.borrow_mut();
-        if let Some(known) = state.agents.get(&report.agent)
-            && known.incarnation == report.incarnation
-            && known.sequence >= report.sequence
-        {
-            return false;
+        let known = state.agents.get(&report.agent);
+        if known.is_some_and(|known| {
+            known.incarnation == report.incarnation && known.sequence >= report.sequence
+        }) {
+            return None;
         }
-        let data_centre = report
-            .worker
-            .as_ref()
-            .map(|status| status.announcement.data_centre.clone());
+        let announcement = report.worker.as_ref().map(|status| &status.announcement);
+        let worker = announcement.map(|announcement| announcement.worker.clone());
+        let freshness = if known.is_some_and(|known| known.worker == worker) {
+            Freshness::SameWorker
+        } else {
+            Freshness::OtherWorker
+        };
         let info = AgentInfo {
             incarnation: report.incarnation,
             sequence: report.sequence,
             address: report.address,
             is_eligible: report.is_eligible,
-            data_centre,
+            data_centre: announcement.map(|announcement| announcement.data_centre.clone()),
+            worker,
             last_report_at: now,
         };
         state.agents.insert(report.agent.clone(), info);
-        true
+        Some(freshness)
     }
 
-    /// Records the worker. The runs of incarnations that it supersedes are lost.
-    fn record_worker(self: &Rc<Self>, report: &Report, status: &WorkerStatus, now: Instant) {
-        let worker = &status.announcement.worker;
+    /// Ends the incarnations of workers that `worker` supersedes. Their runs are lost.
+    fn end_superseded_workers(&self, report: &Report, worker: &WorkerRef) {
         for superseded in self.superseded_workers(report, worker) {
             self.handle_lost_worker(&superseded, "a later incarnation of the worker has started");
             let mut state = self.state.borrow_mut();
@@ -102,9 +111,17 @@
                 .is_some_and(|known| known.announcement.worker == superseded)
             {
                 state.workers.remove(&superseded.id);
+                state.task_capacity.clear();
+                state.needs_decision = true;
             }
         }
+    }
+
+    /// Records the worker and its announcement.
+    fn record_worker(self: &Rc<Self>, report: &Report, status: &WorkerStatus, now: Instant) {
+        let worker = &status.announcement.worker;
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         if let Some(known) = state.workers.get(&worker.id)
             && known.announcement.worker != *worker
         {
@@ -129,6 +146,10 @@
                 leaves_at: None,
                 unreachable_since: None,
             });
+        let was_responsive = entry.is_responsive(now);
+        let has_changed = entry.announcement.capacity != status.announcement.capacity
+            || entry.announcement.labels != status.announcement.labels
+            || entry.announcement.state != status.announcement.state;
         if entry.announcement.state != status.announcement.state {
             info!(target: event::WORKER_STATE,
                 worker = &*worker.id,
@@ -143,6 +164,11 @@
         entry.answered_at = status
             .answer_age_ms
             .and_then(|age_ms| now.checked_sub(Duration::from_millis(age_ms)));
+        let is_usable_again = !was_responsive && entry.is_responsive(now);
+        state.needs_decision |= is_new || has_changed || is_usable_again;
+        if is_new || has_changed {
+            state.task_capacity.clear();
+        }
         if is_new {
             info!(target: event::WORKER_JOINED,
                 worker = &*worker.id,
@@ -152,7 +178,6 @@
                 rack = status.announcement.rack.as_deref().unwrap_or("");
                 ""
             );
-            drop(state);
             self.spawn_dispatcher(worker.clone());
         }
     }
@@ -236,13 +261,15 @@
             }
             known.orders.raise();
         }
+        state.needs_decision |= known.unexpected_runs.len() != unexpected_runs.len() || has_new_run;
         known.unexpected_runs = unexpected_runs;
     }
 
     /// Builds the answer to a report.
     fn answer(&self, report: &Report, now: Instant) -> ReportAnswer {
         let mut state = self.state.borrow_mut();
-        let is_standby = state.standbys(now).contains(&report.agent);
+        state.refresh_directory(now);
+        let is_standby = state.directory.is_standby(&report.agent);
         let worker_lease = if self.is_valid() {
             self.settings.worker_lease
         } else {
@@ -269,13 +296,15 @@
             acknowledged,
             hold_for_ms: as_ms(worker_lease),
             is_standby,
-            peers: state.peers(Some(&report.agent), now),
+            peers: state.directory.peers(Some(&report.agent)),
         }
     }
 
     /// Returns agents that can relay requests to the store.
     pub(crate) fn peers(&self) -> Vec<SocketAddr> {
-        self.state.borrow().peers(None, clock::now())
+        let mut state = self.state.borrow_mut();
+        state.refresh_directory(clock::now());
+        state.directory.peers(None)
     }
 }
 
@@ -336,38 +365,32 @@
         is_listed: &dyn Fn(&TaskRun) -> bool,
         now: Instant,
     ) -> bool {
-        let mut has_any = false;
-        for job in self.jobs.values_mut() {
-            for (unit, live) in &mut job.units {
-                for run in &mut live.runs {
-                    let number = run.run;
-                    for assignment in run
-                        .assignments
-                        .iter_mut()
-                        .filter(|assignment| assignment.worker == *worker)
-                    {
-                        let is_expected = match assignment.state {
-                            AssignmentState::Inherited => true,
-                            AssignmentState::Running => {
-                                now.saturating_duration_since(assignment.since) > MAX_REPORT_DELAY
-                            }
-                            AssignmentState::Unstored
-                            | AssignmentState::Ordered
-                            | AssignmentState::Ended => false,
-                        };
-                        let task = TaskRun {
-                            task: unit.task_id(assignment.index),
-                            run: number,
-                        };
-                        if is_expected && assignment.stop == StopState::None && !is_listed(&task) {
-                            assignment.stop = StopState::Requested;
-                            has_any = true;
-                        }
-                    }
+        let mut missing = Vec::new();
+        for (unit, run, assignment) in self.assignments_on(worker) {
+            let is_expected = match assignment.state {
+                AssignmentState::Inherited => true,
+                AssignmentState::Running => {
+                    now.saturating_duration_since(assignment.since) > MAX_REPORT_DELAY
+                }
+                AssignmentState::Unstored | AssignmentState::Ordered | AssignmentState::Ended => {
+                    false
                 }
+            };
+            let task = TaskRun {
+                task: unit.task_id(assignment.index),
+                run: run.run,
+            };
+            if is_expected && assignment.stop == StopState::None && !is_listed(&task) {
+                missing.push((unit.clone(), run.run, assignment.index));
+            }
+        }
+        for (unit, run, index) in &missing {
+            let job = self.jobs.get_mut(&unit.job);
+            if let Some(assignment) = job.and_then(|job| job.assignment_mut(unit, *run, *index)) {
+                assignment.stop = StopState::Requested;
             }
         }
-        has_any
+        !missing.is_empty()
     }
 
     /// Returns the resources of a task; zero if its job is unknown.
@@ -406,46 +429,11 @@
         }
     }
 
-    /// Returns the addresses of up to [`MAX_PEERS`] live agents other than `except`, from as many data centres
-    /// as possible.
-    fn peers(&self, except: Option<&ProcessId>, now: Instant) -> Vec<SocketAddr> {
-        let mut by_data_centre: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
-        for (name, agent) in &self.agents {
-            let is_live =
-                now.saturating_duration_since(agent.last_report_at) < AGENT_REPORT_TIMEOUT;
-            if is_live && Some(name) != except {
-                let data_centre = agent.data_centre.as_deref().unwrap_or_default();
-                by_data_centre
-                    .entry(data_centre)
-                    .or_default()
-                    .push(agent.address);
-            }
-        }
-        let mut peers = Vec::new();
-        while peers.len() < MAX_PEERS && !by_data_centre.is_empty() {
-            by_data_centre.retain(|_, addresses| {
-                peers.extend(addresses.pop());
-                !addresses.is_empty()
-            });
-        }
-        peers.truncate(MAX_PEERS);
-        peers
-    }
-
-    /// Returns the standby agents: the first eligible live agent of each data centre, up to [`MAX_STANDBYS`].
-    fn standbys(&self, now: Instant) -> Vec<ProcessId> {
-        let mut chosen: BTreeMap<&str, &ProcessId> = BTreeMap::new();
-        for (name, agent) in &self.agents {
-            let is_live =
-                now.saturating_duration_since(agent.last_report_at) < AGENT_REPORT_TIMEOUT;
-            if agent.is_eligible
-                && is_live
-                && let Some(data_centre) = &agent.data_centre
-            {
-                chosen.entry(data_centre).or_insert(name);
-            }
+    /// Rebuilds the directory of agents if it is out of date.
+    fn refresh_directory(&mut self, now: Instant) {
+        if self.directory.is_stale(now) {
+            self.directory = AgentDirectory::new(&self.agents, now);
         }
-        chosen.into_values().take(MAX_STANDBYS).cloned().collect()
     }
 }
 
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! Snapshots for decisions: the workers, the waiting steps and the running units at one time.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -61,9 +62,13 @@
             spread_factor: self.settings.spread_factor,
         };
         let guaranteed = self.guaranteed_jobs(state);
-        for (id, job) in &state.jobs {
+        let active = state
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.progress.state.is_final() || !job.units.is_empty());
+        for (id, job) in active {
             let policy = self.policy_of(job);
-            let is_guaranteed = guaranteed.contains(&id);
+            let is_guaranteed = guaranteed.contains(id);
             let urgency = Urgency::new(state, job, &policy, unix_ms, now);
             for (unit, live) in &job.units {
                 for run in &live.runs {
@@ -149,7 +154,7 @@
     }
 
     /// Returns the jobs that are covered by their customers' guarantees. Older jobs are covered first.
-    fn guaranteed_jobs<'a>(&self, state: &'a State) -> Vec<&'a JobId> {
+    fn guaranteed_jobs<'a>(&self, state: &'a State) -> BTreeSet<&'a JobId> {
         let configuration = self.policy.configuration();
         let mut by_customer: BTreeMap<&CustomerId, Vec<(Instant, &JobId, u64)>> = BTreeMap::new();
         for (id, job) in &state.jobs {
@@ -165,7 +170,7 @@
                 .or_default()
                 .push((job.accepted_at, id, accelerators));
         }
-        let mut covered = Vec::new();
+        let mut covered = BTreeSet::new();
         for (customer, mut jobs) in by_customer {
             let mut available = configuration
                 .customers
@@ -175,7 +180,7 @@
             for (_, id, accelerators) in jobs {
                 if accelerators > 0 && accelerators <= available {
                     available -= accelerators;
-                    covered.push(id);
+                    covered.insert(id);
                 }
             }
         }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -13,9 +13,14 @@
 use log::log;
 use log::warn;
 
+use crate::capacity::TaskCapacity;
+use crate::directory::AgentDirectory;
+use crate::job::Assignment;
 use crate::job::AssignmentState;
 use crate::job::Job;
+use crate::job::LiveRun;
 use crate::metrics::DomainMetrics;
+use crate::run_index::RunIndex;
 use crate::settings::DomainSettings;
 use crate::time::WallClock;
 use crate::worker::AgentInfo;
@@ -70,6 +75,12 @@
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) agents: BTreeMap<ProcessId, AgentInfo>,
     pub(crate) run_times: RunTimeEstimates,
+    /// The runs of all jobs, by worker.
+    pub(crate) runs: RunIndex,
+    pub(crate) directory: AgentDirectory,
+    pub(crate) task_capacity: TaskCapacity,
+    /// Whether something has changed that a decision depends on.
+    pub(crate) needs_decision: bool,
     /// Jobs with changed progress that has to be stored.
     dirty: BTreeSet<JobId>,
     /// Workers whose dispatchers have to be woken.
@@ -96,10 +107,13 @@
         }
     }
 
-    /// Starts writing changed progress, wakes dispatchers with new orders, and wakes the planner.
+    /// Starts writing changed progress, wakes dispatchers with new orders, and wakes the planner if a decision
+    /// depends on what has changed.
     pub(crate) fn flush(self: &Rc<Self>) {
         self.flush_without_wake();
-        self.wake.raise();
+        if std::mem::take(&mut self.state.borrow_mut().needs_decision) {
+            self.wake.raise();
+        }
     }
 
     /// Starts writing changed progress and wakes dispatchers with new orders.
@@ -312,14 +326,11 @@
     /// Ends all runs on an incarnation of a worker that is guaranteed to be over.
     pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, reason: &str) {
         let mut lost = Vec::new();
-        for (id, job) in &self.state.borrow().jobs {
-            for (unit, run, assignment) in job.assignments_on(worker) {
-                if assignment.state != AssignmentState::Ended {
-                    let task = unit.task_id(assignment.index);
-                    debug_assert_eq!(task.job, *id);
-                    let ended = TaskRun { task, run: run.run };
-                    lost.push((ended, assignment.checkpoint.clone()));
-                }
+        for (unit, run, assignment) in self.state.borrow().assignments_on(worker) {
+            if assignment.state != AssignmentState::Ended {
+                let task = unit.task_id(assignment.index);
+                let ended = TaskRun { task, run: run.run };
+                lost.push((ended, assignment.checkpoint.clone()));
             }
         }
         if !lost.is_empty() {
@@ -337,6 +348,25 @@
 }
 
 impl State {
+    /// Returns the assignments of tasks to an incarnation of a worker, with their units and runs.
+    pub(crate) fn assignments_on<'a>(
+        &'a self,
+        worker: &'a WorkerRef,
+    ) -> impl Iterator<Item = (&'a UnitId, &'a LiveRun, &'a Assignment)> {
+        self.runs.on(&worker.id).flat_map(move |(unit, number)| {
+            let job = self.jobs.get(&unit.job);
+            let live = job.and_then(|job| job.units.get(unit));
+            let runs = live.into_iter().flat_map(|live| &live.runs);
+            runs.filter(move |run| run.run == *number)
+                .flat_map(move |run| {
+                    run.assignments
+                        .iter()
+                        .filter(move |assignment| assignment.worker == *worker)
+                        .map(move |assignment| (unit, run, assignment))
+                })
+        })
+    }
+
     /// Marks the progress of a job as changed and returns the new revision.
     pub(crate) fn mark_changed(&mut self, id: &JobId) -> u64 {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -344,6 +374,7 @@
         };
         job.revision += 1;
         self.dirty.insert(id.clone());
+        self.needs_decision = true;
         job.revision
     }
 
@@ -361,14 +392,10 @@
             return false;
         };
         let mut is_changed = false;
-        let ended_runs: Vec<u32> = live
-            .runs
-            .iter()
-            .filter(|run| run.has_ended())
-            .map(|run| run.run)
-            .collect();
-        live.runs.retain(|run| !run.has_ended());
-        for run in ended_runs {
+        for ended in live.runs.extract_if(.., |run| run.has_ended()) {
+            self.runs.remove(unit, &ended);
+            self.needs_decision = true;
+            let run = ended.run;
             let has_attempt = job
                 .progress
                 .unit(unit)
--- a/crates/domain/src/urgency.rs
+++ b/crates/domain/src/urgency.rs
@@ -90,15 +90,8 @@
         .iter()
         .zip(run_times)
         .map(|(step, run_time)| {
-            let parallel_tasks: u64 = state
-                .workers
-                .values()
-                .filter(|worker| &*worker.announcement.service == service)
-                .map(|worker| {
-                    step.allocated_resources()
-                        .count_fitting_in(worker.announcement.capacity)
-                })
-                .sum();
+            let demand = step.allocated_resources();
+            let parallel_tasks = state.task_capacity.count(&state.workers, service, demand);
             run_time.mul_f64(waves(step.tasks, parallel_tasks))
         })
         .collect();
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -12,6 +12,7 @@
 use nutmegwalk_placement::WorkerHealth;
 use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::WorkerRef;
 
 /// Time without a report after which a worker gets no new tasks: two report intervals and a margin.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -27,6 +28,8 @@
     /// Whether the agent can take over the ownership.
     pub(crate) is_eligible: bool,
     pub(crate) data_centre: Option<Box<str>>,
+    /// Worker in its last report.
+    pub(crate) worker: Option<WorkerRef>,
     pub(crate) last_report_at: Instant,
 }
 
