Make orders to start tasks expire on the owner's clock

Only the view of the operators' rows limited starts, and only when they were planned.

Change: starts are permitted until the views of the jobs and of the operators' rows reach an age that follows from the stated bounds (cancel_ms, evacuateMs). Each order carries that time on the owner's clock, agents learn a lower bound of this clock from the answers to their reports, and refuse starts that have expired, also between two tries. An acknowledgement alone no longer causes an order; the answer to the next report carries it.

Tests, which failed before: owner_with_an_old_view_of_the_jobs_starts_nothing (assembly; run without the check), and crates/supervisor/tests/orders.rs (the order had no expiry).

--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -237,6 +237,15 @@
         }
     }
 
+    /// Stops the feeds of jobs of all agents, as if their processes did not get to read them.
+    pub(crate) fn silence_job_feeds(&self) {
+        for host in &self.hosts {
+            if let Some((_, _, store)) = &*host.process.borrow() {
+                store.is_job_feed_silent.set(true);
+            }
+        }
+    }
+
     fn caller(&self, queue: &str) -> Caller {
         let path = format!("/{queue}/");
         self.entry
--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -173,6 +173,21 @@
         domain.wait_for_state("normal", "b", JobState::Completed).await;
     }
 
+    // Guards against an owner that has not read the jobs for a while and starts one that was cancelled since.
+    owner_with_an_old_view_of_the_jobs_starts_nothing => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "running", gang(1, 4_500)).await;
+        domain.wait_for_starts("running.0.0.0", 1).await;
+        domain.submit("normal", "waiting", gang(1, 100)).await;
+        compio::time::sleep(Duration::from_millis(500)).await;
+        domain.silence_job_feeds();
+        domain.cancel("normal", "waiting").await;
+        domain.wait_until("the first job has ended", || !domain.hosts[0].worker.has_run_of("running.0.0.0")).await;
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        assert!(domain.events.started_runs("waiting.0.0.0").is_empty());
+        domain.assert_no_violations();
+    }
+
     // Guards against a job that fails before its last attempt, or never.
     failing_job_fails_after_its_attempts => {
         let domain = TestDomain::start(3).await;
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -76,7 +76,6 @@
         let is_answered = match result {
             Ok(answer) => {
                 let is_usable_again = known.unreachable_since.take().is_some();
-                known.sent_acknowledged = known.sent_acknowledged.max(orders.acknowledged);
                 state.needs_decision |= is_usable_again;
                 drop(state);
                 self.apply_results(worker, &answer);
@@ -115,21 +114,24 @@
         let mut starts = BTreeMap::new();
         let mut stops: Vec<TaskRun> = known.unexpected_runs.keys().cloned().collect();
         collect_orders(&state, worker, &mut starts, &mut stops);
-        if !self.is_valid() {
-            // Without a valid lease only orders that stop runs may be sent.
+        let permitted_until = self
+            .starts_permitted_until()
+            .filter(|until| clock::now() < *until && self.is_valid());
+        if permitted_until.is_none() {
+            // Without a valid lease and recent views only orders that stop runs may be sent.
             starts.clear();
         }
         let orders = Orders {
             epoch: self.epoch(),
             worker: worker.clone(),
             acknowledged: known.acknowledged,
+            starts_expire_ms: permitted_until.map_or(0, |until| self.clock_ms(until)),
             starts: starts.into_values().collect(),
             stops,
             paces: Vec::new(),
         };
-        let is_empty = orders.starts.is_empty()
-            && orders.stops.is_empty()
-            && known.acknowledged <= known.sent_acknowledged;
+        // An acknowledgement alone is sent with the answer to the next report.
+        let is_empty = orders.starts.is_empty() && orders.stops.is_empty();
         Some(((!is_empty).then_some(orders), signal))
     }
 
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -135,6 +135,7 @@
         let policy = PolicyView::new(Rc::clone(&self.feed), Rc::clone(&self.rows));
         let wake = Signal::new();
         policy.subscribe(wake.clone());
+        let jobs = Rc::new(Follower::new(Rc::clone(&self.feed), JOB_PREFIX));
         let term = Rc::new(Term {
             settings: self.settings.clone(),
             held,
@@ -142,6 +143,7 @@
             store: self.store.clone(),
             client: self.client.clone(),
             policy: policy.clone(),
+            jobs: Rc::clone(&jobs),
             metrics: self.metrics.clone(),
             started_at: clock::now(),
             wall_clock: WallClock::new(),
@@ -152,9 +154,8 @@
         });
         *self.term.borrow_mut() = Some(Rc::clone(&term));
         let replica = JobReplica::new(Rc::clone(&term));
-        let follower = Follower::new(Rc::clone(&self.feed), JOB_PREFIX);
         let policy_task = compio::runtime::spawn(async move { policy.run().await });
-        let jobs_task = compio::runtime::spawn(async move { follower.run(&replica).await });
+        let jobs_task = compio::runtime::spawn(async move { jobs.run(&replica).await });
         let planner = Rc::clone(&term);
         let planner_task = compio::runtime::spawn(async move { planner.run_planner().await });
         let cleaner = Rc::clone(&term);
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -67,11 +67,10 @@
 
     /// Returns whether tasks may be started now.
     fn may_start(&self) -> bool {
-        let is_policy_fresh = self
-            .policy
-            .age()
-            .is_some_and(|age| age < self.settings.max_policy_age);
-        self.is_loaded.get() && self.is_valid() && is_policy_fresh && self.has_worker_reports()
+        let is_permitted = self
+            .starts_permitted_until()
+            .is_some_and(|until| clock::now() < until);
+        self.is_loaded.get() && self.is_valid() && is_permitted && self.has_worker_reports()
     }
 
     /// Returns whether the workers with inherited runs have reported, or the time to wait for them has passed.
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -139,7 +139,6 @@
                 lease_expires_at: now,
                 pending_ends: BTreeMap::new(),
                 acknowledged: 0,
-                sent_acknowledged: 0,
                 unexpected_runs: BTreeMap::new(),
                 health: WorkerHealth::new(self.settings.health),
                 orders: Signal::new(),
@@ -285,7 +284,6 @@
             && known.announcement.worker == *worker
         {
             acknowledged = known.acknowledged;
-            known.sent_acknowledged = known.sent_acknowledged.max(acknowledged);
             if !worker_lease.is_zero() {
                 known.lease_expires_at = known.lease_expires_at.max(now + worker_lease);
             }
@@ -295,6 +293,7 @@
             worker,
             acknowledged,
             hold_for_ms: as_ms(worker_lease),
+            owner_clock_ms: self.clock_ms(now),
             is_standby,
             peers: state.directory.peers(Some(&report.agent)),
         }
@@ -404,7 +403,6 @@
 
     /// Advances the acknowledged number of each worker past the ends whose effects are stored.
     pub(crate) fn advance_acknowledgements(&mut self) {
-        let mut advanced = Vec::new();
         for worker in self.workers.values_mut() {
             while let Some((number, job_revision)) = worker.pending_ends.first_key_value() {
                 let is_stored = match job_revision {
@@ -420,12 +418,6 @@
                 worker.acknowledged = *number;
                 worker.pending_ends.pop_first();
             }
-            if worker.acknowledged > worker.sent_acknowledged {
-                advanced.push(worker.announcement.worker.id.clone());
-            }
-        }
-        for worker in advanced {
-            self.queue_notification(&worker);
         }
     }
 
--- a/crates/domain/src/settings.rs
+++ b/crates/domain/src/settings.rs
@@ -15,6 +15,9 @@
     /// Age of the operators' configuration from which no tasks are started. It has to be below the time within
     /// which an evacuation must be in force.
     pub max_policy_age: Duration,
+    /// Age of the view of the jobs from which no tasks are started. It has to be below the time within which a
+    /// cancelled job's tasks may still be started.
+    pub max_job_age: Duration,
     /// Time within which all tasks of a run have to be started. It has to be below the time for which the
     /// members of a gang wait for each other.
     pub start_timeout: Duration,
@@ -34,6 +37,7 @@
             domain: domain.into(),
             worker_lease: Duration::from_secs(9),
             max_policy_age: Duration::from_millis(3_500),
+            max_job_age: Duration::from_millis(2_400),
             start_timeout: Duration::from_millis(1_800),
             ended_job_retention: Duration::from_secs(180),
             spread_factor: 3.0,
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -37,6 +37,7 @@
 use nutmegwalk_net::Client;
 use nutmegwalk_placement::RunTimeEstimates;
 use nutmegwalk_policy::PolicyView;
+use nutmegwalk_store::Follower;
 use nutmegwalk_store::StoreClient;
 use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_workload::EndEffect;
@@ -55,6 +56,8 @@
     pub(crate) store: StoreClient,
     pub(crate) client: Client,
     pub(crate) policy: PolicyView,
+    /// Follows the job rows.
+    pub(crate) jobs: Rc<Follower>,
     pub(crate) metrics: DomainMetrics,
     pub(crate) started_at: Instant,
     pub(crate) wall_clock: WallClock,
@@ -97,6 +100,19 @@
         self.ownership.current() == Some(self.held)
     }
 
+    /// Returns the instant until which tasks may be started: the views of the jobs and of the operators' rows are
+    /// recent enough until then. `None` before the first read of either.
+    pub(crate) fn starts_permitted_until(&self) -> Option<Instant> {
+        let by_jobs = self.jobs.confirmed_at()? + self.settings.max_job_age;
+        let by_policy = self.policy.confirmed_at()? + self.settings.max_policy_age;
+        Some(by_jobs.min(by_policy))
+    }
+
+    /// Returns the time of `instant` on the clock of this term, in milliseconds since it began.
+    pub(crate) fn clock_ms(&self, instant: Instant) -> u64 {
+        as_ms(instant.saturating_duration_since(self.started_at))
+    }
+
     /// Returns the policy of a job's queue from the current configuration, or the one at the job's acceptance if
     /// the queue is no longer configured.
     pub(crate) fn policy_of(&self, job: &Job) -> QueuePolicy {
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -54,8 +54,6 @@
     pub(crate) pending_ends: BTreeMap<u64, Option<(JobId, u64)>>,
     /// Number up to which the effects of all ends are stored.
     pub(crate) acknowledged: u64,
-    /// Highest acknowledged number that was sent to the agent.
-    pub(crate) sent_acknowledged: u64,
     pub(crate) unexpected_runs: BTreeMap<nutmegwalk_supervisor::TaskRun, UnexpectedRun>,
     pub(crate) health: WorkerHealth,
     /// Raised when there may be new orders for the worker.
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -34,6 +34,8 @@
     pub rejects_progress_writes: Rc<Cell<bool>>,
     /// Every request on this connection fails with `store_unavailable` while this is set.
     pub is_connection_down: Rc<Cell<bool>>,
+    /// Requests for changes of jobs on this connection are not answered while this is set.
+    pub is_job_feed_silent: Rc<Cell<bool>>,
     /// Requests on this connection are never answered.
     is_closed: Rc<Cell<bool>>,
 }
@@ -50,6 +52,7 @@
     pub fn connection(&self) -> Self {
         Self {
             is_connection_down: Rc::default(),
+            is_job_feed_silent: Rc::default(),
             is_closed: Rc::default(),
             ..self.clone()
         }
@@ -141,6 +144,9 @@
             self.check_available().await?;
             let changes = self.memory.changes(prefix, after, wait).await;
             self.check_available().await?;
+            if prefix.starts_with("job") && self.is_job_feed_silent.get() {
+                std::future::pending::<()>().await;
+            }
             changes
         }
         .boxed_local()
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::error;
 use log::info;
@@ -88,6 +89,12 @@
         self.inner.configuration.borrow().version > 0
     }
 
+    /// Returns the latest instant at which the view is known to have been current; `None` before the first read.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.inner.follower.confirmed_at()
+    }
+
     /// Returns the time since the view was last provably current; `None` before the first read.
     #[must_use]
     pub fn age(&self) -> Option<Duration> {
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod message;
 mod orders;
+mod owner_clock;
 mod supervisor;
 mod worker;
 
@@ -24,6 +25,7 @@
 pub use message::StopResult;
 pub use message::TaskOutcome;
 pub use message::WorkerStatus;
+pub use owner_clock::OwnerClock;
 pub use supervisor::Supervisor;
 pub use supervisor::SupervisorTimings;
 pub use worker::Announcement;
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -72,6 +72,8 @@
     /// Duration for which the worker's lease may last, counted from the sending of the report, in
     /// milliseconds; zero when the owner cannot confirm that it is still the owner.
     pub hold_for_ms: u64,
+    /// The owner's clock, in milliseconds since its term began.
+    pub owner_clock_ms: u64,
     /// Whether the agent is a standby for the ownership.
     pub is_standby: bool,
     /// Other agents that can forward requests to the store.
@@ -157,6 +159,9 @@
     pub worker: WorkerRef,
     /// Number up to which the owner has stored the ends, so that the worker may drop them.
     pub acknowledged: u64,
+    /// Time on the owner's clock from which `starts` are void, in milliseconds since its term began. The tasks may
+    /// have been cancelled since, or their data centre taken out of service.
+    pub starts_expire_ms: u64,
     /// Tasks to start.
     pub starts: Vec<StartOrder>,
     /// Runs to stop.
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -151,6 +151,12 @@
         if worker.announcement.state != WorkerState::Ready {
             return Err(Refusal::Draining);
         }
+        let is_valid = state.owner_clock.is_some_and(|owner_clock| {
+            owner_clock.is_before(orders.epoch, orders.starts_expire_ms, clock::now())
+        });
+        if !is_valid {
+            return Err(Refusal::Expired);
+        }
         let Some(lease_until_clock_ms) = state.lease_until_ms(worker, &self.timings) else {
             return Err(Refusal::LeasePassed);
         };
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -11,6 +11,7 @@
 use crate::Announcement;
 use crate::EndedTask;
 use crate::LeaseClock;
+use crate::OwnerClock;
 use crate::PollAnswer;
 use crate::PollRequest;
 use crate::ReportAnswer;
@@ -85,6 +86,8 @@
     pub(crate) worker: Option<SupervisedWorker>,
     /// Highest fencing epoch seen.
     pub(crate) epoch: Epoch,
+    /// Clock of the owner that answered last.
+    pub(crate) owner_clock: Option<OwnerClock>,
     /// Instant until which the owner allows the lease to last.
     pub(crate) lease_limit: Option<Instant>,
     /// Epoch that the worker refused because it has seen a higher one; polls no longer use it.
@@ -284,12 +287,18 @@
         if answer.epoch < state.epoch {
             return;
         }
+        let now = clock::now();
+        let owner_clock = OwnerClock::new(answer.epoch, answer.owner_clock_ms, now);
+        state.owner_clock = state
+            .owner_clock
+            .map(|known| known.improved_by(owner_clock, now))
+            .or(Some(owner_clock));
         let is_new_epoch = state.epoch < answer.epoch;
         state.epoch = answer.epoch;
         let mut is_renewable_again = false;
         if answer.hold_for_ms > 0 {
             let limit = sent_at + Duration::from_millis(answer.hold_for_ms);
-            is_renewable_again = state.lease_limit.is_none_or(|known| known < clock::now());
+            is_renewable_again = state.lease_limit.is_none_or(|known| known < now);
             state.lease_limit = state.lease_limit.max(Some(limit));
         }
         let mut is_acknowledged = false;
--- a/crates/supervisor/src/worker.rs
+++ b/crates/supervisor/src/worker.rs
@@ -120,6 +120,8 @@
     SupersededRun,
     /// The lease in the request had already ended, or the agent may not renew the lease now.
     LeasePassed,
+    /// The order reached the worker's agent, or was carried out by it, after its expiry.
+    Expired,
     /// The worker has too little free capacity.
     NoRoom,
     /// The ticket is missing or not valid.
@@ -142,6 +144,7 @@
             Self::StaleEpoch => "stale_epoch",
             Self::SupersededRun => "superseded_run",
             Self::LeasePassed => "lease_passed",
+            Self::Expired => "expired",
             Self::NoRoom => "no_room",
             Self::InvalidTicket => "invalid_ticket",
             Self::OtherWorker => "other_worker",
--- a/crates/supervisor/tests/lease.rs
+++ b/crates/supervisor/tests/lease.rs
@@ -112,6 +112,7 @@
         worker: Some(worker()),
         acknowledged: 0,
         hold_for_ms: 60_000,
+        owner_clock_ms: 0,
         is_standby: false,
         peers: Vec::new(),
     };
--- /dev/null
+++ b/crates/supervisor/tests/orders.rs
@@ -0,0 +1,217 @@
+//! Tests of orders that reach the agent late.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
+use nutmegwalk_supervisor::Announcement;
+use nutmegwalk_supervisor::Orders;
+use nutmegwalk_supervisor::PollAnswer;
+use nutmegwalk_supervisor::PollRequest;
+use nutmegwalk_supervisor::Refusal;
+use nutmegwalk_supervisor::ReportAnswer;
+use nutmegwalk_supervisor::StartAnswer;
+use nutmegwalk_supervisor::StartOrder;
+use nutmegwalk_supervisor::StartRequest;
+use nutmegwalk_supervisor::Supervisor;
+use nutmegwalk_supervisor::SupervisorTimings;
+use nutmegwalk_supervisor::TaskOutcome;
+use nutmegwalk_supervisor::TaskRun;
+use nutmegwalk_supervisor::WorkerPort;
+use nutmegwalk_supervisor::WorkerState;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::WorkerRef;
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[rstest::rstest] fn $name() {
+            compio::runtime::Runtime::new().expect("a runtime").block_on(async $body);
+        })*
+    };
+}
+
+/// Epoch of the owner that sends the orders.
+const EPOCH: Epoch = 3;
+/// The owner's clock at its last answer, in milliseconds.
+const OWNER_CLOCK_MS: u64 = 10_000;
+
+/// Worker that starts every task, or answers no start.
+#[derive(Default)]
+struct CountingWorker {
+    is_silent: Cell<bool>,
+    starts: Cell<u32>,
+}
+
+impl WorkerPort for CountingWorker {
+    fn start<'a>(&'a self, _request: &'a StartRequest) -> LocalBoxFuture<'a, Result<StartAnswer>> {
+        self.starts.set(self.starts.get() + 1);
+        if self.is_silent.get() {
+            return std::future::pending().boxed_local();
+        }
+        let answer = StartAnswer {
+            clock_ms: None,
+            refusal: None,
+        };
+        async move { Ok(answer) }.boxed_local()
+    }
+
+    fn stop<'a>(
+        &'a self,
+        _worker: &'a WorkerRef,
+        _run: &'a TaskRun,
+        _epoch: Epoch,
+    ) -> LocalBoxFuture<'a, Result<()>> {
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn pace<'a>(
+        &'a self,
+        _worker: &'a WorkerRef,
+        _run: &'a TaskRun,
+        _percent: u32,
+        _epoch: Epoch,
+    ) -> LocalBoxFuture<'a, Result<()>> {
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn poll<'a>(&'a self, request: &'a PollRequest) -> LocalBoxFuture<'a, Result<PollAnswer>> {
+        let answer = PollAnswer {
+            clock_ms: 1_000,
+            ..PollAnswer::default()
+        };
+        async move {
+            compio::time::sleep(request.wait.max(Duration::from_millis(10))).await;
+            Ok(answer)
+        }
+        .boxed_local()
+    }
+}
+
+fn worker() -> WorkerRef {
+    WorkerRef {
+        id: "i-1".into(),
+        born_unix_ms: 1,
+        machine: None,
+    }
+}
+
+fn answer(epoch: Epoch, owner_clock_ms: u64) -> ReportAnswer {
+    ReportAnswer {
+        epoch,
+        worker: Some(worker()),
+        acknowledged: 0,
+        hold_for_ms: 60_000,
+        owner_clock_ms,
+        is_standby: false,
+        peers: Vec::new(),
+    }
+}
+
+fn start_order(starts_expire_ms: u64) -> Orders {
+    Orders {
+        epoch: EPOCH,
+        worker: worker(),
+        acknowledged: 0,
+        starts_expire_ms,
+        starts: vec![StartOrder {
+            job: "a".into(),
+            occurrence: 0,
+            step: 0,
+            tasks: vec![0],
+            run: 1,
+            payload: "".into(),
+            checkpoint: None,
+            ticket: None,
+        }],
+        stops: Vec::new(),
+        paces: Vec::new(),
+    }
+}
+
+/// Returns a supervisor whose worker has answered a poll, and which has an answer of the owner with `epoch`.
+async fn supervise(port: &Rc<CountingWorker>, epoch: Epoch) -> Supervisor {
+    let port: Rc<dyn WorkerPort> = Rc::<CountingWorker>::clone(port);
+    let supervisor = Supervisor::new(port, SupervisorTimings::default());
+    supervisor.record_heartbeat(Announcement {
+        worker: worker(),
+        service: "plank-desk".into(),
+        data_centre: "ventspils".into(),
+        rack: None,
+        labels: Vec::new(),
+        capacity: Resources::default(),
+        state: WorkerState::Ready,
+        cold_remaining_ms: 0,
+        sequence: 1,
+    });
+    supervisor.apply_answer(&answer(epoch, OWNER_CLOCK_MS), clock::now());
+    let running = supervisor.clone();
+    compio::runtime::spawn(async move { running.run().await }).detach();
+    while supervisor
+        .status()
+        .and_then(|status| status.answer_age_ms)
+        .is_none()
+    {
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+    supervisor
+}
+
+async fn start_outcome(supervisor: &Supervisor, starts_expire_ms: u64) -> TaskOutcome {
+    let answer = supervisor
+        .execute(start_order(starts_expire_ms))
+        .await
+        .expect("the agent accepts the orders");
+    answer.starts[0].outcome
+}
+
+cases! {
+    valid_order_is_carried_out => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        assert_eq!(start_outcome(&supervisor, OWNER_CLOCK_MS + 60_000).await, TaskOutcome::Done);
+    }
+
+    // Guards against an order that spends seconds on its way or in a paused process and starts a task whose job was
+    // cancelled meanwhile.
+    expired_order_starts_nothing => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        let outcome = start_outcome(&supervisor, OWNER_CLOCK_MS).await;
+        assert_eq!(outcome, TaskOutcome::Refused(Refusal::Expired));
+        assert_eq!(port.starts.get(), 0);
+    }
+
+    // Guards against a later answer of the owner that arrives first and is then replaced by an earlier one.
+    clock_of_the_owner_does_not_go_back => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        supervisor.apply_answer(&answer(EPOCH, OWNER_CLOCK_MS - 5_000), clock::now());
+        let outcome = start_outcome(&supervisor, OWNER_CLOCK_MS).await;
+        assert_eq!(outcome, TaskOutcome::Refused(Refusal::Expired));
+    }
+
+    // Guards against comparing the expiry with the clock of another owner.
+    order_of_an_owner_with_an_unknown_clock_starts_nothing => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH - 1).await;
+        let outcome = start_outcome(&supervisor, u64::MAX).await;
+        assert_eq!(outcome, TaskOutcome::Refused(Refusal::Expired));
+    }
+
+    // Guards against repeating an unanswered start after the order has expired.
+    order_that_expires_between_tries_is_not_repeated => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        port.is_silent.set(true);
+        let outcome = start_outcome(&supervisor, OWNER_CLOCK_MS + 150).await;
+        // The unanswered try may still take effect.
+        assert_eq!(outcome, TaskOutcome::Unknown);
+        assert_eq!(port.starts.get(), 1);
+    }
+}
