Write an upper bound of the renewal's time into the lease row

Cause: the row held a lower bound of the store's clock at the renewal: the reading in an earlier answer, as of its arrival. With an answer that took longer than the margin, a contender overestimated the age of the renewal and took over while the holder's lease was valid, so that two processes gave orders for a moment.

Change: a reading counts from the sending of its request. A takeover may come later by the time that the answer took, never earlier.

Test: slow_response_with_the_clock_does_not_shorten_the_lease; it failed with the reading as of its arrival. Ruled out: the contender's side; it compares the row with a reading that is older than the observation.

--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -358,7 +358,8 @@
             address: self.address.clone(),
             renewal: self.last_renewal,
             incarnation: self.incarnation,
-            renewed_at_ms: self.store_clock.map(|clock| clock.lower_bound_ms(now)),
+            // A later instant than that of the renewal never lets a contender take over too early.
+            renewed_at_ms: self.store_clock.map(|clock| clock.upper_bound_ms(now)),
         };
         let value = match serde_json::to_string(&row) {
             Ok(value) => value,
--- a/crates/lease/tests/protocol.rs
+++ b/crates/lease/tests/protocol.rs
@@ -7,6 +7,7 @@
 use support::World;
 
 use nutmegwalk_lease::owner_key;
+use nutmegwalk_store::StoreClock;
 use nutmegwalk_store::TransactionOutcome;
 
 macro_rules! cases {
@@ -52,6 +53,25 @@
         assert_eq!(second.epoch(&world), Some(2));
     }
 
+    // Guards against a contender that overestimates the age of a renewal by the delay of the response from which the
+    // holder knows the store's clock, and takes over while the holder's lease is valid.
+    slow_response_with_the_clock_does_not_shorten_the_lease => {
+        let (mut world, mut first, mut second) = held();
+        let origin = world.now;
+        world.advance(1_000);
+        first.state.observe_clock(Some(StoreClock { now_ms: 0, requested_at: origin }));
+        first.run_until_idle(&mut world);
+        for _ in 0..60 {
+            let since_ms = (world.now - origin).as_millis();
+            let now_ms = u64::try_from(since_ms).expect("a short test");
+            second.state.observe_clock(Some(StoreClock { now_ms, requested_at: world.now }));
+            second.run_until_idle(&mut world);
+            assert!(first.epoch(&world).is_none() || second.epoch(&world).is_none());
+            world.advance(100);
+        }
+        assert_eq!(second.epoch(&world), Some(2));
+    }
+
     // Guards against a holder that still considers its lease valid after a pause, and whose writes are still accepted.
     paused_holder_is_fenced => {
         let (mut world, mut first, mut second) = held();
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -135,16 +135,17 @@
 pub struct StoreClock {
     /// Reading of the clock, in milliseconds.
     pub now_ms: u64,
-    /// Local instant after that reading.
-    pub observed_at: Instant,
+    /// Local instant before that reading, at which the request was sent.
+    pub requested_at: Instant,
 }
 
 impl StoreClock {
-    /// Returns a lower bound of the store's clock at `now`, in milliseconds.
+    /// Returns an upper bound of the store's clock at `now`, in milliseconds.
     #[must_use]
-    pub fn lower_bound_ms(&self, now: Instant) -> u64 {
-        let since = now.saturating_duration_since(self.observed_at).as_millis();
-        self.now_ms + u64::try_from(since).unwrap_or(0)
+    pub fn upper_bound_ms(&self, now: Instant) -> u64 {
+        let since = now.saturating_duration_since(self.requested_at).as_millis();
+        // The reading and the duration are rounded down.
+        self.now_ms + u64::try_from(since).unwrap_or(u64::MAX / 2) + 2
     }
 }
 
