Search victims and future placements without sorting

Each candidate victim sorted all workers to see whether the tasks fit, and each instant of the profile took the minimum over the run time even where nothing was free.

Change: the number of tasks that fit is kept for each worker while victims are added and removed; instants at which too little is free are skipped by a comparison; the capacity of empty workers is collected once a decision. The decisions are the same: the tests of plan and load pass unchanged.

--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -9,6 +9,7 @@
 use crate::WaitingStep;
 use crate::profile::FreeResources;
 use nutmegwalk_base::RackId;
+use nutmegwalk_workload::Resources;
 
 /// Slowdown factor at and above which a worker gets no tasks.
 const MAX_SLOWDOWN_FACTOR: f64 = 2.0;
@@ -73,27 +74,87 @@
     tasks: u32,
     locality: Locality,
 ) -> Vec<usize> {
+    let Some(counts) = counts(snapshot, step, free, task_limits, tasks, locality) else {
+        return Vec::new();
+    };
+    if step.is_gang && total(&counts) < u64::from(tasks) {
+        return Vec::new();
+    }
+    assign_tasks(snapshot, step, free, &counts, tasks)
+}
+
+/// Returns whether `tasks` tasks of a step fit into `free`, which is cheaper than [`find_workers`].
+pub(crate) fn fits(
+    snapshot: &Snapshot,
+    step: &WaitingStep,
+    free: &FreeResources,
+    task_limits: &TaskLimits,
+    tasks: u32,
+    locality: Locality,
+) -> bool {
+    counts(snapshot, step, free, task_limits, tasks, locality)
+        .is_some_and(|counts| total(&counts) >= u64::from(tasks))
+}
+
+/// Returns whether [`find_workers`] finds any worker, which takes less time.
+pub(crate) fn can_start(
+    snapshot: &Snapshot,
+    step: &WaitingStep,
+    free: &FreeResources,
+    task_limits: &TaskLimits,
+    tasks: u32,
+    locality: Locality,
+) -> bool {
+    let required = if step.is_gang { tasks } else { 1 };
+    counts(snapshot, step, free, task_limits, tasks, locality)
+        .is_some_and(|counts| total(&counts) >= u64::from(required))
+}
+
+/// Returns the number of tasks of a step that fit on each worker, at most `tasks`; `None` if the step requires a
+/// rack and none is suitable, or if it is a gang and not all tasks fit.
+fn counts(
+    snapshot: &Snapshot,
+    step: &WaitingStep,
+    free: &FreeResources,
+    task_limits: &TaskLimits,
+    tasks: u32,
+    locality: Locality,
+) -> Option<Vec<u32>> {
     let counts: Vec<u32> = free
         .iter()
         .zip(task_limits)
-        .map(|(free, allowed)| {
-            let by_resources =
-                u32::try_from(step.demand.count_fitting_in(*free)).unwrap_or(u32::MAX);
-            by_resources.min(*allowed).min(tasks)
-        })
+        .map(|(free, allowed)| count_on(step, *free, *allowed, tasks))
         .collect();
-    let counts = match locality {
-        Locality::Any => counts,
-        Locality::Local => match restrict_to_rack(snapshot, step, free, &counts, tasks) {
-            Some(counts) => counts,
-            None => return Vec::new(),
-        },
-    };
-    let total: u64 = counts.iter().map(|count| u64::from(*count)).sum();
-    if step.is_gang && total < u64::from(tasks) {
-        return Vec::new();
+    if step.is_gang && total(&counts) < u64::from(tasks) {
+        return None;
     }
-    assign_tasks(snapshot, step, free, &counts, tasks)
+    match locality {
+        Locality::Any => Some(counts),
+        Locality::Local => restrict_to_rack(snapshot, step, free, counts, tasks),
+    }
+}
+
+/// Returns the number of tasks of a step that fit into the free resources of one worker, at most `tasks`.
+pub(crate) fn count_on(step: &WaitingStep, free: Resources, allowed: u32, tasks: u32) -> u32 {
+    let has_room = free.accelerators >= step.demand.accelerators
+        && free.memory_mb >= step.demand.memory_mb
+        && free.milli_cores >= step.demand.milli_cores;
+    // Most workers of a busy deployment are full, and the divisions below take far longer than comparisons.
+    if allowed == 0 || !has_room {
+        return 0;
+    }
+    let by_resources = u32::try_from(step.demand.count_fitting_in(free)).unwrap_or(u32::MAX);
+    by_resources.min(allowed).min(tasks)
+}
+
+fn total(counts: &[u32]) -> u64 {
+    counts.iter().map(|count| u64::from(*count)).sum()
+}
+
+/// Returns whether a placement of `tasks` tasks of a step with `locality` is limited to one rack.
+pub(crate) fn needs_rack(step: &WaitingStep, tasks: u32, locality: Locality) -> bool {
+    let keeps_together = step.is_rack_sensitive && (tasks > 1 || !step.started_tasks.is_empty());
+    locality == Locality::Local && (step.data_rack.is_some() || keeps_together)
 }
 
 /// Sets the task counts of all workers outside the required rack to zero.
@@ -103,23 +164,24 @@
     snapshot: &Snapshot,
     step: &WaitingStep,
     free: &FreeResources,
-    counts: &[u32],
+    mut counts: Vec<u32>,
     tasks: u32,
 ) -> Option<Vec<u32>> {
+    if !needs_rack(step, tasks, Locality::Local) {
+        return Some(counts);
+    }
     let rack = match &step.data_rack {
         Some(rack) => rack.clone(),
-        None if step.is_rack_sensitive && (tasks > 1 || !step.started_tasks.is_empty()) => {
-            rack_of_step(snapshot, step)
-                .or_else(|| best_fit_rack(snapshot, free, counts, tasks))
-                .or_else(|| largest_rack(snapshot, step, counts, tasks))?
-        }
-        None => return Some(counts.to_vec()),
+        None => rack_of_step(snapshot, step)
+            .or_else(|| best_fit_rack(snapshot, free, &counts, tasks))
+            .or_else(|| largest_rack(snapshot, step, &counts, tasks))?,
     };
-    let keep = |(index, count): (usize, &u32)| {
-        let is_in_rack = snapshot.workers[index].rack.as_ref() == Some(&rack);
-        if is_in_rack { *count } else { 0 }
-    };
-    Some(counts.iter().enumerate().map(keep).collect())
+    for (count, worker) in counts.iter_mut().zip(&snapshot.workers) {
+        if worker.rack.as_ref() != Some(&rack) {
+            *count = 0;
+        }
+    }
+    Some(counts)
 }
 
 /// Returns the rack in which tasks of the step have been started already.
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -16,7 +16,9 @@
 use crate::WaitingTasks;
 use crate::fit::Locality;
 use crate::fit::TaskLimits;
+use crate::fit::can_start;
 use crate::fit::find_workers;
+use crate::fit::needs_rack;
 use crate::fit::task_limits;
 use crate::leaving::runs_to_move;
 use crate::preempt::VictimSearch;
@@ -56,6 +58,8 @@
 struct Planner<'a> {
     snapshot: &'a Snapshot,
     profile: AvailabilityProfile,
+    /// Free resources if nothing ran.
+    empty: FreeResources,
     /// Number of steps for which future placements were computed.
     planned: usize,
     /// Positions in [`Snapshot::running`] of the runs that this decision stops.
@@ -89,6 +93,11 @@
         Self {
             snapshot,
             profile,
+            empty: snapshot
+                .workers
+                .iter()
+                .map(|worker| worker.capacity)
+                .collect(),
             planned: 0,
             stopped_runs: moves.iter().copied().collect(),
             plan: Plan {
@@ -136,17 +145,9 @@
     /// Returns the strictest locality with which tasks of the step would fit if all workers were empty;
     /// `None` if they do not fit at all.
     fn best_locality(&self, step: &WaitingStep, remaining: &RemainingTasks) -> Option<Locality> {
-        let empty: FreeResources = self
-            .snapshot
-            .workers
-            .iter()
-            .map(|worker| worker.capacity)
-            .collect();
-        let fits = |locality: &Locality| {
-            let workers = self.find_workers(step, &empty, remaining, *locality);
-            !workers.is_empty()
-        };
-        [Locality::Local, Locality::Any].into_iter().find(fits)
+        [Locality::Local, Locality::Any]
+            .into_iter()
+            .find(|locality| self.can_start(step, &self.empty, remaining, *locality))
     }
 
     /// Returns workers with enough `free` resources for the remaining tasks of a step.
@@ -167,6 +168,18 @@
         )
     }
 
+    /// Returns whether [`Self::find_workers`] finds any worker, which takes less time.
+    fn can_start(
+        &self,
+        step: &WaitingStep,
+        free: &FreeResources,
+        remaining: &RemainingTasks,
+        locality: Locality,
+    ) -> bool {
+        let limits = &remaining.task_limits;
+        can_start(self.snapshot, step, free, limits, remaining.tasks, locality)
+    }
+
     /// Starts the tasks that fit now without delaying a step with a higher rank.
     fn start(&mut self, index: usize, remaining: &mut RemainingTasks, locality: Locality) {
         let step = &self.snapshot.waiting[index];
@@ -212,7 +225,13 @@
         let mut future = FuturePlacements::default();
         let mut remaining = remaining.clone();
         let mut profile = self.profile.clone();
+        // With a required rack the choice of the rack depends on the number of tasks, so there is no shortcut.
+        let has_shortcut = !needs_rack(step, remaining.tasks, locality);
         for time in &self.profile.times()[1..] {
+            // What is free throughout the run time is at most what is free at its start.
+            if has_shortcut && !self.can_start(step, profile.free_at(*time), &remaining, locality) {
+                continue;
+            }
             let free = profile.free_during(*time, step.run_time);
             let workers = self.find_workers(step, &free, &remaining, locality);
             if workers.is_empty() {
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -10,9 +10,12 @@
 use crate::WaitingStep;
 use crate::fit::Locality;
 use crate::fit::TaskLimits;
-use crate::fit::find_workers;
+use crate::fit::count_on;
+use crate::fit::fits;
+use crate::fit::needs_rack;
 use crate::profile::FreeResources;
 use nutmegwalk_base::RackId;
+use nutmegwalk_workload::Resources;
 
 /// Factor on the lost work of a victim whose job becomes late by the preemption.
 const LATE_LOSS_FACTOR: f64 = 2.0;
@@ -66,17 +69,18 @@
             self.task_limits[worker] > 0
                 && (rack.is_none() || self.snapshot.workers[worker].rack.as_ref() == rack)
         };
-        let mut free: FreeResources = free
+        let free = free
             .iter()
             .enumerate()
             .map(|(worker, free)| {
                 if is_in_scope(worker) {
                     *free
                 } else {
-                    Default::default()
+                    Resources::default()
                 }
             })
             .collect();
+        let mut room = Room::new(self, free);
         let mut candidates: Vec<usize> = (0..self.snapshot.running.len())
             .filter(|index| {
                 let victim = &self.snapshot.running[*index];
@@ -91,16 +95,16 @@
         candidates.sort_by(|a, b| self.cost(*a).total_cmp(&self.cost(*b)));
         let mut chosen = Vec::new();
         for index in candidates {
-            if self.fits(&free) {
+            if room.fits() {
                 break;
             }
-            add_released(&mut free, &self.snapshot.running[index], &is_in_scope);
+            room.release(&self.snapshot.running[index], &is_in_scope);
             chosen.push(index);
         }
-        if !self.fits(&free) {
+        if !room.fits() {
             return None;
         }
-        self.drop_unneeded(&mut free, &mut chosen, &is_in_scope);
+        self.drop_unneeded(&mut room, &mut chosen, &is_in_scope);
         let loss_core_s = chosen.iter().map(|index| self.cost(*index)).sum();
         Some(Victims {
             running: chosen,
@@ -108,40 +112,21 @@
         })
     }
 
-    /// Returns whether all tasks of the search fit into `free`.
-    fn fits(&self, free: &FreeResources) -> bool {
-        let workers = find_workers(
-            self.snapshot,
-            self.step,
-            free,
-            self.task_limits,
-            self.tasks,
-            self.locality,
-        );
-        workers.len() == self.tasks as usize
-    }
-
     /// Removes the victims whose resources turn out not to be needed, starting with the most costly. The
     /// candidates were added in order of cost, so a later one can make earlier ones unnecessary.
     fn drop_unneeded(
         &self,
-        free: &mut FreeResources,
+        room: &mut Room,
         chosen: &mut Vec<usize>,
         is_in_scope: &dyn Fn(usize) -> bool,
     ) {
         for position in (0..chosen.len()).rev() {
             let victim = &self.snapshot.running[chosen[position]];
-            let mut without = free.clone();
-            for (worker, size) in victim
-                .allocations
-                .iter()
-                .filter(|(worker, _)| is_in_scope(*worker))
-            {
-                without[*worker] = without[*worker].minus(*size);
-            }
-            if self.fits(&without) {
-                *free = without;
+            room.occupy(victim, is_in_scope);
+            if room.fits() {
                 chosen.remove(position);
+            } else {
+                room.release(victim, is_in_scope);
             }
         }
     }
@@ -164,17 +149,72 @@
             || (step.is_guaranteed && victim.priority >= step.priority))
 }
 
-/// Adds to `free` the resources that stopping `victim` releases on the workers in scope.
-fn add_released(
-    free: &mut FreeResources,
-    victim: &RunningUnit,
-    is_in_scope: &dyn Fn(usize) -> bool,
-) {
-    for (worker, size) in victim
-        .allocations
-        .iter()
-        .filter(|(worker, _)| is_in_scope(*worker))
-    {
-        free[*worker] = free[*worker].plus(*size);
+/// Room for the tasks of a search while victims are added and removed.
+///
+/// The number of tasks that fit is kept for each worker, so that a victim costs as much as it has tasks.
+struct Room<'a> {
+    search: &'a VictimSearch<'a>,
+    free: FreeResources,
+    counts: Vec<u32>,
+    total: u64,
+    is_in_one_rack: bool,
+}
+
+impl<'a> Room<'a> {
+    fn new(search: &'a VictimSearch<'a>, free: FreeResources) -> Self {
+        let workers = free.len();
+        let mut room = Self {
+            search,
+            free,
+            counts: vec![0; workers],
+            total: 0,
+            is_in_one_rack: needs_rack(search.step, search.tasks, search.locality),
+        };
+        (0..workers).for_each(|worker| room.recount(worker));
+        room
+    }
+
+    /// Returns whether all tasks of the search fit.
+    fn fits(&self) -> bool {
+        if self.total < u64::from(self.search.tasks) {
+            return false;
+        }
+        !self.is_in_one_rack
+            || fits(
+                self.search.snapshot,
+                self.search.step,
+                &self.free,
+                self.search.task_limits,
+                self.search.tasks,
+                self.search.locality,
+            )
+    }
+
+    /// Adds the resources that stopping `victim` releases on the workers in scope.
+    fn release(&mut self, victim: &RunningUnit, is_in_scope: &dyn Fn(usize) -> bool) {
+        for (worker, size) in &victim.allocations {
+            if is_in_scope(*worker) {
+                self.free[*worker] = self.free[*worker].plus(*size);
+                self.recount(*worker);
+            }
+        }
+    }
+
+    /// Takes back the resources that `victim` releases on the workers in scope.
+    fn occupy(&mut self, victim: &RunningUnit, is_in_scope: &dyn Fn(usize) -> bool) {
+        for (worker, size) in &victim.allocations {
+            if is_in_scope(*worker) {
+                self.free[*worker] = self.free[*worker].minus(*size);
+                self.recount(*worker);
+            }
+        }
+    }
+
+    fn recount(&mut self, worker: usize) {
+        let search = self.search;
+        let allowed = search.task_limits[worker];
+        let count = count_on(search.step, self.free[worker], allowed, search.tasks);
+        let before = std::mem::replace(&mut self.counts[worker], count);
+        self.total = self.total + u64::from(count) - u64::from(before);
     }
 }
--- a/crates/placement/src/profile.rs
+++ b/crates/placement/src/profile.rs
@@ -66,6 +66,11 @@
         &self.times
     }
 
+    /// Returns the resources that are free at `time`.
+    pub(crate) fn free_at(&self, time: Duration) -> &FreeResources {
+        &self.free[self.segment(time)]
+    }
+
     /// Returns the resources that are free throughout the period from `start` for `duration`.
     pub(crate) fn free_during(&self, start: Duration, duration: Duration) -> FreeResources {
         let end = start.saturating_add(duration);
