Run tasks of a process again after a panic

Cause: the runtime ends a task that panics and nothing else. An owner whose planner, writer or dispatcher panicked kept its lease and went on without it: nothing started any more, and nothing said so.

A permanent fault of one job's data can still make the planner fail again and again; that is visible now, not solved.

--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -36,6 +36,7 @@
 use nutmegwalk_net::Response;
 use nutmegwalk_net::Server;
 use nutmegwalk_net::ServerLimits;
+use nutmegwalk_net::spawn_restarting;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::PeersAnswer;
 use nutmegwalk_supervisor::PeersRequest;
@@ -212,10 +213,22 @@
         let reporter = Rc::clone(self);
         let contender = Rc::clone(self);
         vec![
-            compio::runtime::spawn(async move { supervisor.run().await }),
-            compio::runtime::spawn(async move { owner.owner.run().await }),
-            compio::runtime::spawn(async move { reporter.report().await }),
-            compio::runtime::spawn(async move { contender.contend().await }),
+            spawn_restarting("supervisor", move || {
+                let supervisor = supervisor.clone();
+                async move { supervisor.run().await }
+            }),
+            spawn_restarting("owner", move || {
+                let owner = Rc::clone(&owner);
+                async move { owner.owner.run().await }
+            }),
+            spawn_restarting("reporter", move || {
+                let reporter = Rc::clone(&reporter);
+                async move { reporter.report().await }
+            }),
+            spawn_restarting("contender", move || {
+                let contender = Rc::clone(&contender);
+                async move { contender.contend().await }
+            }),
         ]
     }
 
@@ -316,7 +329,10 @@
             contending.take();
         } else if contending.is_none() {
             let ownership = Rc::clone(&self.ownership);
-            *contending = Some(compio::runtime::spawn(async move { ownership.run().await }));
+            *contending = Some(spawn_restarting("lease", move || {
+                let ownership = Rc::clone(&ownership);
+                async move { ownership.run().await }
+            }));
         }
     }
 
--- a/crates/assembly/src/entry.rs
+++ b/crates/assembly/src/entry.rs
@@ -24,6 +24,7 @@
 use nutmegwalk_intake::IntakeSettings;
 use nutmegwalk_intake::JobView;
 use nutmegwalk_net::Drain;
+use nutmegwalk_net::spawn_restarting;
 use nutmegwalk_policy::PolicyView;
 use nutmegwalk_supervisor::PeersRequest;
 
@@ -128,9 +129,18 @@
         let jobs = self.jobs.clone();
         let (ports, locator) = (self.ports.clone(), Rc::clone(&self.locator));
         vec![
-            compio::runtime::spawn(async move { follow_peers(&ports, &locator).await }),
-            compio::runtime::spawn(async move { policy.run().await }),
-            compio::runtime::spawn(async move { jobs.run().await }),
+            spawn_restarting("peers", move || {
+                let (ports, locator) = (ports.clone(), Rc::clone(&locator));
+                async move { follow_peers(&ports, &locator).await }
+            }),
+            spawn_restarting("policy", move || {
+                let policy = policy.clone();
+                async move { policy.run().await }
+            }),
+            spawn_restarting("jobs", move || {
+                let jobs = jobs.clone();
+                async move { jobs.run().await }
+            }),
         ]
     }
 
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -77,6 +77,8 @@
     TERM_BEGUN = "term_begun";
     /// A new owner has read the jobs from the store.
     JOBS_READ = "jobs_read";
+    /// A task of the process panicked and is run again.
+    TASK_FAILED = "task_failed";
     /// An owner's term ends.
     TERM_ENDED = "term_ended";
     /// A configuration is in force in this process.
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -14,6 +14,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
+use nutmegwalk_net::spawn_restarting;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::OrdersAnswer;
 use nutmegwalk_supervisor::Refusal;
@@ -37,7 +38,11 @@
     /// Spawns the task that sends orders to one incarnation of a worker.
     pub(crate) fn spawn_dispatcher(self: &Rc<Self>, worker: WorkerRef) {
         let term = Rc::clone(self);
-        compio::runtime::spawn(async move { term.dispatch_orders(&worker).await }).detach();
+        spawn_restarting("dispatcher", move || {
+            let (term, worker) = (Rc::clone(&term), worker.clone());
+            async move { term.dispatch_orders(&worker).await }
+        })
+        .detach();
     }
 
     /// Sends the orders of a worker until its incarnation is over or another process is the owner.
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -22,6 +22,7 @@
 use nutmegwalk_lease::HeldLease;
 use nutmegwalk_lease::Ownership;
 use nutmegwalk_net::Client;
+use nutmegwalk_net::spawn_restarting;
 use nutmegwalk_policy::OperatorRows;
 use nutmegwalk_policy::PolicyView;
 use nutmegwalk_store::ChangeFeed;
@@ -153,21 +154,26 @@
             has_decided: Cell::new(false),
         });
         *self.term.borrow_mut() = Some(Rc::clone(&term));
-        let replica = JobReplica::new(Rc::clone(&term));
-        let policy_task = compio::runtime::spawn(async move { policy.run().await });
-        let jobs_task = compio::runtime::spawn(async move { jobs.run(&replica).await });
-        let planner = Rc::clone(&term);
-        let planner_task = compio::runtime::spawn(async move { planner.run_planner().await });
-        let cleaner = Rc::clone(&term);
-        let cleaner_task = compio::runtime::spawn(async move { cleaner.clean_up().await });
+        let replica = Rc::new(JobReplica::new(Rc::clone(&term)));
+        let (planner, cleaner) = (Rc::clone(&term), Rc::clone(&term));
+        let tasks = [
+            spawn_restarting("policy", move || {
+                let policy = policy.clone();
+                async move { policy.run().await }
+            }),
+            spawn_restarting("jobs", move || {
+                let (jobs, replica) = (Rc::clone(&jobs), Rc::clone(&replica));
+                async move { jobs.run(&*replica).await }
+            }),
+            spawn_restarting("planner", move || Rc::clone(&planner).run_planner()),
+            spawn_restarting("cleaner", move || Rc::clone(&cleaner).clean_up()),
+        ];
         // A lease that lapsed during an outage can still be renewed with the same epoch, so the term ends only
         // when another process has taken over or the lease was released.
         while !term.is_superseded() && !self.is_released(&held) {
             compio::time::sleep(LEASE_POLL).await;
         }
-        for task in [policy_task, jobs_task, planner_task, cleaner_task] {
-            drop(task);
-        }
+        drop(tasks);
         *self.term.borrow_mut() = None;
         info!(target: event::TERM_ENDED, domain = &*self.settings.domain, epoch = held.epoch; "");
     }
--- a/crates/domain/src/progress_writer.rs
+++ b/crates/domain/src/progress_writer.rs
@@ -16,6 +16,7 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
+use nutmegwalk_net::spawn_restarting;
 use nutmegwalk_store::Condition;
 use nutmegwalk_store::RequestClass;
 use nutmegwalk_store::RowVersion;
@@ -51,7 +52,11 @@
         }
         let term = Rc::clone(self);
         let id = id.clone();
-        compio::runtime::spawn(async move { term.write_until_stored(&id).await }).detach();
+        spawn_restarting("progress_writer", move || {
+            let (term, id) = (Rc::clone(&term), id.clone());
+            async move { term.write_until_stored(&id).await }
+        })
+        .detach();
     }
 
     /// Writes the progress of a job until all changes are stored or the writes cannot succeed any more.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod server;
 pub mod shutdown;
 mod stream;
+mod task;
 
 pub use client::Client;
 pub use drain::Drain;
@@ -26,3 +27,4 @@
 pub use server::Response;
 pub use server::Server;
 pub use server::ServerLimits;
+pub use task::spawn_restarting;
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -72,7 +72,8 @@
     /// Duration for which the worker's lease may last, counted from the sending of the report, in
     /// milliseconds; zero when the owner cannot confirm that it is still the owner.
     pub hold_for_ms: u64,
-    /// The owner's clock, in milliseconds since its term began.
+    /// The owner's clock, in milliseconds since its term began; zero from an owner of an earlier release.
+    #[serde(default)]
     pub owner_clock_ms: u64,
     /// Whether the agent is a standby for the ownership.
     pub is_standby: bool,
@@ -160,7 +161,9 @@
     /// Number up to which the owner has stored the ends, so that the worker may drop them.
     pub acknowledged: u64,
     /// Time on the owner's clock from which `starts` are void, in milliseconds since its term began. The tasks may
-    /// have been cancelled since, or their data centre taken out of service.
+    /// have been cancelled since, or their data centre taken out of service. Zero, and so void, from an owner of an
+    /// earlier release.
+    #[serde(default)]
     pub starts_expire_ms: u64,
     /// Tasks to start.
     pub starts: Vec<StartOrder>,
