Read changed jobs at most every 100 ms on entry hosts

Cause: all entry hosts follow all jobs with one long poll each, which returns for every stored change.

Change: a follower has a shortest time between two requests, 100 ms on entry hosts; the owner's stays zero.

A caller sees a state up to 100 ms later.

--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -13,6 +13,7 @@
 use nutmegwalk_store::Change;
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Follower;
+use nutmegwalk_store::FollowerTimings;
 use nutmegwalk_store::Replica;
 use nutmegwalk_store::Row;
 use nutmegwalk_store::RowVersion;
@@ -22,6 +23,10 @@
 use nutmegwalk_workload::JobRow;
 use nutmegwalk_workload::JobState;
 
+/// Shortest time between two reads of changed jobs. All entry hosts follow all jobs, and callers ask for a state far
+/// less often than it changes.
+const MIN_FEED_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Cached state of a job.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CachedJob {
@@ -80,9 +85,13 @@
     /// Creates an empty view; [`JobView::run`] fills it from the feed.
     #[must_use]
     pub fn new(feed: Rc<dyn ChangeFeed>) -> Self {
+        let timings = FollowerTimings {
+            min_interval: MIN_FEED_INTERVAL,
+            ..FollowerTimings::default()
+        };
         Self {
             inner: Rc::new(Inner {
-                follower: Follower::new(feed, JOB_PREFIX),
+                follower: Follower::with_timings(feed, JOB_PREFIX, timings),
                 jobs: RefCell::default(),
                 early_rows: RefCell::default(),
             }),
--- a/crates/relay/tests/relayed_store.rs
+++ b/crates/relay/tests/relayed_store.rs
@@ -40,6 +40,7 @@
 const TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which a request of the follower waits for a change, and the additional time for its response.
 const FOLLOWER_TIMINGS: FollowerTimings = FollowerTimings {
+    min_interval: Duration::ZERO,
     wait: Duration::from_millis(100),
     response_margin: Duration::from_millis(400),
 };
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -103,6 +103,9 @@
     pub wait: Duration,
     /// Time beyond `wait` after which a request times out; it covers the direct connection and a peer.
     pub response_margin: Duration,
+    /// Shortest time between two requests. Changes that are made within it are read together, so that the number
+    /// of requests does not grow with the number of changes.
+    pub min_interval: Duration,
 }
 
 impl Default for FollowerTimings {
@@ -110,6 +113,7 @@
         Self {
             wait: Duration::from_millis(700),
             response_margin: Duration::from_millis(1_200),
+            min_interval: Duration::ZERO,
         }
     }
 }
@@ -166,6 +170,7 @@
         let mut backoff = Backoff::new(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY);
         let mut is_failing = false;
         loop {
+            let begun_at = clock::now();
             match self.step(replica).await {
                 Ok(()) => {
                     if is_failing {
@@ -173,6 +178,11 @@
                     }
                     is_failing = false;
                     backoff.reset();
+                    let taken = clock::now().saturating_duration_since(begun_at);
+                    let pause = self.timings.min_interval.saturating_sub(taken);
+                    if !pause.is_zero() {
+                        compio::time::sleep(pause).await;
+                    }
                 }
                 Err(error) if error.kind == ErrorKind::HistoryLost => {
                     info!(target: event::FEED_RESTARTED, collection = &*self.prefix; "");
