--- a/crates/supervisor/tests/lease.rs
+++ b/crates/supervisor/tests/lease.rs
@@ -1,10 +1,14 @@
 //! Tests of the worker's lease as tracked by its agent.
 
+mod common;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use common::announcement;
+use common::answer;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
@@ -12,19 +16,15 @@
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
-use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_supervisor::LeaseClock;
 use nutmegwalk_supervisor::PollAnswer;
 use nutmegwalk_supervisor::PollRequest;
-use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::StartAnswer;
 use nutmegwalk_supervisor::StartRequest;
 use nutmegwalk_supervisor::Supervisor;
 use nutmegwalk_supervisor::SupervisorTimings;
 use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_supervisor::WorkerPort;
-use nutmegwalk_supervisor::WorkerState;
-use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::WorkerRef;
 
 macro_rules! cases {
@@ -79,14 +79,6 @@
     }
 }
 
-fn worker() -> WorkerRef {
-    WorkerRef {
-        id: "i-1".into(),
-        born_unix_ms: 1,
-        machine: None,
-    }
-}
-
 fn supervise(port: Rc<SlowWorker>) -> Supervisor {
     let supervisor = Supervisor::new(
         port,
@@ -96,27 +88,8 @@
             ..SupervisorTimings::default()
         },
     );
-    supervisor.record_heartbeat(Announcement {
-        worker: worker(),
-        service: "plank-desk".into(),
-        data_centre: "ventspils".into(),
-        rack: None,
-        labels: Vec::new(),
-        capacity: Resources::default(),
-        state: WorkerState::Ready,
-        cold_remaining_ms: 0,
-        sequence: 1,
-    });
-    let answer = ReportAnswer {
-        epoch: 1,
-        worker: Some(worker()),
-        acknowledged: 0,
-        hold_for_ms: 60_000,
-        owner_clock_ms: 0,
-        is_standby: false,
-        peers: Vec::new(),
-    };
-    supervisor.apply_answer(&answer, Instant::now());
+    supervisor.record_heartbeat(announcement());
+    supervisor.apply_answer(&answer(1, 0), Instant::now());
     let running = supervisor.clone();
     compio::runtime::spawn(async move { running.run().await }).detach();
     supervisor
--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -1,21 +1,24 @@
 //! Tests of orders that reach the agent late.
 
+mod common;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use common::announcement;
+use common::answer;
+use common::worker;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
-use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::PollAnswer;
 use nutmegwalk_supervisor::PollRequest;
 use nutmegwalk_supervisor::Refusal;
-use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::StartAnswer;
 use nutmegwalk_supervisor::StartOrder;
 use nutmegwalk_supervisor::StartRequest;
@@ -24,8 +27,6 @@
 use nutmegwalk_supervisor::TaskOutcome;
 use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_supervisor::WorkerPort;
-use nutmegwalk_supervisor::WorkerState;
-use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::WorkerRef;
 
 macro_rules! cases {
@@ -93,26 +94,6 @@
     }
 }
 
-fn worker() -> WorkerRef {
-    WorkerRef {
-        id: "i-1".into(),
-        born_unix_ms: 1,
-        machine: None,
-    }
-}
-
-fn answer(epoch: Epoch, owner_clock_ms: u64) -> ReportAnswer {
-    ReportAnswer {
-        epoch,
-        worker: Some(worker()),
-        acknowledged: 0,
-        hold_for_ms: 60_000,
-        owner_clock_ms,
-        is_standby: false,
-        peers: Vec::new(),
-    }
-}
-
 fn start_order(starts_expire_ms: u64) -> Orders {
     Orders {
         epoch: EPOCH,
@@ -138,17 +119,7 @@
 async fn supervise(port: &Rc<CountingWorker>, epoch: Epoch) -> Supervisor {
     let port: Rc<dyn WorkerPort> = Rc::<CountingWorker>::clone(port);
     let supervisor = Supervisor::new(port, SupervisorTimings::default());
-    supervisor.record_heartbeat(Announcement {
-        worker: worker(),
-        service: "plank-desk".into(),
-        data_centre: "ventspils".into(),
-        rack: None,
-        labels: Vec::new(),
-        capacity: Resources::default(),
-        state: WorkerState::Ready,
-        cold_remaining_ms: 0,
-        sequence: 1,
-    });
+    supervisor.record_heartbeat(announcement());
     supervisor.apply_answer(&answer(epoch, OWNER_CLOCK_MS), clock::now());
     let running = supervisor.clone();
     compio::runtime::spawn(async move { running.run().await }).detach();
