--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -36,13 +36,13 @@
 /// Time for which a report that was sent before a start can still arrive after it.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(1_500);
 
-/// What a report says about the worker of its agent.
+/// Worker of a report, compared with the agent's report before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Freshness {
-    /// The worker is the one that the agent reported last.
-    SameWorker,
-    /// The agent reported another worker, another incarnation or none before.
-    OtherWorker,
+enum ReportedWorker {
+    /// The same incarnation of the same worker.
+    Same,
+    /// Another worker, another incarnation, or the first report.
+    Other,
 }
 
 impl Term {
@@ -50,10 +50,10 @@
     pub(crate) fn apply_report(self: &Rc<Self>, report: &Report) -> ReportAnswer {
         let now = clock::now();
         self.wall_clock.observe(&report.agent, report.unix_ms);
-        if let Some(freshness) = self.record_agent(report, now)
+        if let Some(reported) = self.record_agent(report, now)
             && let Some(status) = &report.worker
         {
-            if freshness == Freshness::OtherWorker {
+            if reported == ReportedWorker::Other {
                 self.end_superseded_workers(report, &status.announcement.worker);
             }
             self.record_worker(report, status, now);
@@ -72,7 +72,7 @@
     }
 
     /// Records the agent; `None` if a later report of the same incarnation was received before.
-    fn record_agent(&self, report: &Report, now: Instant) -> Option<Freshness> {
+    fn record_agent(&self, report: &Report, now: Instant) -> Option<ReportedWorker> {
         let mut state = self.state.borrow_mut();
         let known = state.agents.get(&report.agent);
         if known.is_some_and(|known| {
@@ -82,10 +82,10 @@
         }
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = announcement.map(|announcement| announcement.worker.clone());
-        let freshness = if known.is_some_and(|known| known.worker == worker) {
-            Freshness::SameWorker
+        let reported = if known.is_some_and(|known| known.worker == worker) {
+            ReportedWorker::Same
         } else {
-            Freshness::OtherWorker
+            ReportedWorker::Other
         };
         let info = AgentInfo {
             incarnation: report.incarnation,
@@ -97,7 +97,7 @@
             last_report_at: now,
         };
         state.agents.insert(report.agent.clone(), info);
-        Some(freshness)
+        Some(reported)
     }
 
     /// Ends the incarnations of workers that `worker` supersedes. Their runs are lost.
--- a/crates/domain/src/run_index.rs
+++ b/crates/domain/src/run_index.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns the runs with tasks on any incarnation of a worker.
-    pub(crate) fn on(&self, worker: &str) -> impl Iterator<Item = &RunKey> {
+    pub(crate) fn runs_on(&self, worker: &str) -> impl Iterator<Item = &RunKey> {
         self.by_worker.get(worker).into_iter().flatten()
     }
 }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -369,18 +369,20 @@
         &'a self,
         worker: &'a WorkerRef,
     ) -> impl Iterator<Item = (&'a UnitId, &'a LiveRun, &'a Assignment)> {
-        self.runs.on(&worker.id).flat_map(move |(unit, number)| {
-            let job = self.jobs.get(&unit.job);
-            let live = job.and_then(|job| job.units.get(unit));
-            let runs = live.into_iter().flat_map(|live| &live.runs);
-            runs.filter(move |run| run.run == *number)
-                .flat_map(move |run| {
-                    run.assignments
-                        .iter()
-                        .filter(move |assignment| assignment.worker == *worker)
-                        .map(move |assignment| (unit, run, assignment))
-                })
-        })
+        self.runs
+            .runs_on(&worker.id)
+            .flat_map(move |(unit, number)| {
+                let job = self.jobs.get(&unit.job);
+                let live = job.and_then(|job| job.units.get(unit));
+                let runs = live.into_iter().flat_map(|live| &live.runs);
+                runs.filter(move |run| run.run == *number)
+                    .flat_map(move |run| {
+                        run.assignments
+                            .iter()
+                            .filter(move |assignment| assignment.worker == *worker)
+                            .map(move |assignment| (unit, run, assignment))
+                    })
+            })
     }
 
     /// Marks the progress of a job as changed and returns the new revision.
