Log when an agent finds a lapse, and which report tells the owner of it

The logs did not show whether two 'runs_lost' of one worker were two lapses or one that was told twice. worker_lapsed names the end of the lease; runs_lost names the report. No decision changes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -153,6 +153,8 @@
     WORKER_LEFT = "worker_left";
     /// An agent cannot poll its worker.
     WORKER_SILENT = "worker_silent";
+    /// An agent has found that its worker's lease has lapsed, so that the runs it had are over.
+    WORKER_LAPSED = "worker_lapsed";
     /// A heartbeat arrived after a newer one and was ignored.
     HEARTBEAT_LATE = "heartbeat_late";
     /// A heartbeat is invalid and was rejected.
--- a/crates/domain/src/monitor.rs
+++ b/crates/domain/src/monitor.rs
@@ -29,7 +29,8 @@
     pub(crate) fn check_timeouts(self: &Rc<Self>) {
         let now = clock::now();
         for worker in self.expired_workers(now) {
-            self.handle_lost_worker(&worker, "no report was received for longer than its lease");
+            let reason = "no report was received for longer than its lease";
+            self.handle_lost_worker(&worker, None, reason);
         }
         for (unit, run) in self.late_runs(now) {
             warn!(target: event::RUN_LATE, unit:% = unit, run = run; "the run did not start in time on all workers, stopping it");
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -62,6 +62,7 @@
             if status.has_lapsed {
                 self.handle_lost_worker(
                     &status.announcement.worker,
+                    Some(report.sequence),
                     "the worker's lease has lapsed",
                 );
             }
@@ -103,7 +104,11 @@
     /// Ends the incarnations of workers that `worker` supersedes. Their runs are lost.
     fn end_superseded_workers(&self, report: &Report, worker: &WorkerRef) {
         for superseded in self.superseded_workers(report, worker) {
-            self.handle_lost_worker(&superseded, "a later incarnation of the worker has started");
+            self.handle_lost_worker(
+                &superseded,
+                Some(report.sequence),
+                "a later incarnation of the worker has started",
+            );
             let mut state = self.state.borrow_mut();
             if state
                 .workers
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -339,8 +339,9 @@
         state.mark_changed(id);
     }
 
-    /// Ends all runs on an incarnation of a worker that is guaranteed to be over.
-    pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, reason: &str) {
+    /// Ends all runs on an incarnation of a worker that is guaranteed to be over. `report` is the number of the
+    /// report that shows it.
+    pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, report: Option<u64>, reason: &str) {
         let mut lost = Vec::new();
         for (unit, run, assignment) in self.state.borrow().assignments_on(worker) {
             if assignment.state != AssignmentState::Ended {
@@ -350,7 +351,13 @@
             }
         }
         if !lost.is_empty() {
-            warn!(target: event::RUNS_LOST, worker = &*worker.id, born_unix_ms = worker.born_unix_ms, runs = lost.len(); "runs lost: {reason}");
+            warn!(target: event::RUNS_LOST,
+                worker = &*worker.id,
+                born_unix_ms = worker.born_unix_ms,
+                report:? = report,
+                runs = lost.len();
+                "runs lost: {reason}"
+            );
         }
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
--- a/crates/supervisor/src/lease.rs
+++ b/crates/supervisor/src/lease.rs
@@ -36,6 +36,12 @@
         self.clock_ms
     }
 
+    /// Returns the latest end of the lease that the worker may have received, on its clock, in milliseconds.
+    #[must_use]
+    pub fn lease_until_clock_ms(&self) -> u64 {
+        self.lease_until_clock_ms
+    }
+
     /// Records a later answer.
     pub fn observe(&mut self, clock_ms: u64, answered_at: Instant) {
         if clock_ms >= self.clock_ms {
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -108,6 +108,8 @@
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
     pub(crate) ended: Vec<EndedTask>,
+    /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds.
+    lapsed_until_ms: Option<u64>,
     /// Runs that were started, with the worker's clock at that time. A list that the worker made earlier
     /// does not contain them.
     pub(crate) recent_starts: Vec<(TaskRun, u64)>,
@@ -124,6 +126,7 @@
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            lapsed_until_ms: None,
             recent_starts: Vec::new(),
         }
     }
@@ -138,6 +141,24 @@
             || self.ended.iter().any(|end| end.run == *run)
     }
 
+    /// Records the lapse of the lease, if it has lapsed at `now`.
+    fn record_lapse(&mut self, now: Instant) {
+        let Some(clock) = self.clock.filter(|clock| clock.has_lapsed(now)) else {
+            return;
+        };
+        let lapsed_until_ms = Some(clock.lease_until_clock_ms());
+        if self.lapsed_until_ms != lapsed_until_ms {
+            self.lapsed_until_ms = lapsed_until_ms;
+            info!(target: event::WORKER_LAPSED,
+                worker = &*self.worker().id,
+                lease_until_ms = clock.lease_until_clock_ms(),
+                answer_age_ms = as_ms(clock.time_since_answer(now)),
+                running = self.running.len();
+                ""
+            );
+        }
+    }
+
     /// Drops the ends that the owner has stored, up to `number`; returns whether `number` is new.
     pub(crate) fn acknowledge(&mut self, number: u64) -> bool {
         if number <= self.acknowledged {
@@ -256,8 +277,9 @@
     #[must_use]
     pub fn status(&self) -> Option<WorkerStatus> {
         let now = clock::now();
-        let state = self.inner.state.borrow();
-        let worker = state.worker.as_ref()?;
+        let mut state = self.inner.state.borrow_mut();
+        let worker = state.worker.as_mut()?;
+        worker.record_lapse(now);
         let since = |instant: Instant| as_ms(now.saturating_duration_since(instant));
         Some(WorkerStatus {
             announcement: worker.announcement.clone(),
