--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -2,8 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub(crate) mod scripted_agent;
+
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -31,6 +34,7 @@
 use nutmegwalk_intake::Caller;
 use nutmegwalk_intake::IntakeSettings;
 use nutmegwalk_lease::LeaseTiming;
+use nutmegwalk_lease::OwnerRow;
 use nutmegwalk_net::Client;
 use nutmegwalk_net::Drain;
 use nutmegwalk_policy::MaintenanceWave;
@@ -350,6 +354,18 @@
         }
     }
 
+    /// Waits until an asynchronous condition holds.
+    pub(crate) async fn wait_until_async(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        let started = Instant::now();
+        while !condition().await {
+            assert!(
+                started.elapsed() < WAIT_TIMEOUT,
+                "timed out waiting until {what}"
+            );
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Waits until a task was started at least `times` times.
     pub(crate) async fn wait_for_starts(&self, task: &str, times: usize) {
         self.wait_until(&format!("{task} starts"), || {
@@ -368,11 +384,19 @@
 
     /// Returns the host whose agent owns the domain according to the lease row.
     pub(crate) fn owner(&self) -> Option<usize> {
+        let holder = self.owner_row()?.holder;
+        self.hosts.iter().position(|host| host.name == holder)
+    }
+
+    /// Returns the address of the agent that owns the domain according to the lease row.
+    pub(crate) fn owner_address(&self) -> Option<SocketAddr> {
+        self.owner_row()?.address.parse().ok()
+    }
+
+    fn owner_row(&self) -> Option<OwnerRow> {
         let keys = [nutmegwalk_lease::owner_key("test")];
         let row = self.store.memory.read(&keys).into_iter().flatten().next()?;
-        self.hosts
-            .iter()
-            .position(|host| row.value.contains(&format!("\"{}\"", host.name)))
+        serde_json::from_str(&row.value).ok()
     }
 
     /// Fails the test if a task ran twice at the same time, or again after its success was acknowledged.
--- /dev/null
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -0,0 +1,181 @@
+//! An agent whose reports a test makes, and that accepts all orders.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegwalk_base::secret::Secret;
+use nutmegwalk_net::Client;
+use nutmegwalk_net::Drain;
+use nutmegwalk_net::Handler;
+use nutmegwalk_net::Message;
+use nutmegwalk_net::Request;
+use nutmegwalk_net::Response;
+use nutmegwalk_net::Server;
+use nutmegwalk_net::ServerLimits;
+use nutmegwalk_supervisor::Announcement;
+use nutmegwalk_supervisor::EndedTask;
+use nutmegwalk_supervisor::Orders;
+use nutmegwalk_supervisor::OrdersAnswer;
+use nutmegwalk_supervisor::Report;
+use nutmegwalk_supervisor::ReportAnswer;
+use nutmegwalk_supervisor::RunningTask;
+use nutmegwalk_supervisor::StartResult;
+use nutmegwalk_supervisor::TaskOutcome;
+use nutmegwalk_supervisor::TaskRun;
+use nutmegwalk_supervisor::WorkerState;
+use nutmegwalk_supervisor::WorkerStatus;
+use nutmegwalk_workload::EndKind;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::WorkerRef;
+
+const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// An agent without a supervisor.
+pub(crate) struct ScriptedAgent {
+    address: SocketAddr,
+    client: Client,
+    sequence: Cell<u64>,
+    received: RefCell<Received>,
+}
+
+/// Orders that the agent has accepted, oldest first.
+#[derive(Default)]
+struct Received {
+    starts: Vec<TaskRun>,
+    stops: Vec<TaskRun>,
+}
+
+impl ScriptedAgent {
+    /// Starts an agent that accepts orders.
+    pub(crate) async fn start() -> Rc<Self> {
+        let listen = "127.0.0.1:0".parse().expect("an address");
+        let server = Server::bind(listen, ServerLimits::default())
+            .await
+            .expect("a free port");
+        let agent = Rc::new(Self {
+            address: server.local_address(),
+            client: Client::new("scripted", Secret::new("")).expect("HTTP client"),
+            sequence: Cell::new(0),
+            received: RefCell::default(),
+        });
+        compio::runtime::spawn(server.serve(Rc::clone(&agent), Drain::new())).detach();
+        agent
+    }
+
+    /// Sends a report to the owner and returns its answer.
+    pub(crate) async fn report(&self, owner: SocketAddr, worker: WorkerStatus) -> ReportAnswer {
+        self.sequence.set(self.sequence.get() + 1);
+        let report = Report {
+            agent: "scripted".into(),
+            incarnation: 1,
+            sequence: self.sequence.get(),
+            address: self.address,
+            epoch: 1,
+            is_eligible: false,
+            unix_ms: nutmegwalk_base::clock::unix_ms(),
+            worker: Some(worker),
+        };
+        self.client
+            .send(owner, &report, REPORT_TIMEOUT)
+            .await
+            .expect("the owner answers")
+    }
+
+    /// Returns the runs of a task that the agent was ordered to start.
+    pub(crate) fn ordered_runs(&self, task: &str) -> Vec<u32> {
+        let received = self.received.borrow();
+        let starts = received.starts.iter();
+        let of_task = starts.filter(|run| run.task.to_string() == task);
+        of_task.map(|run| run.run).collect()
+    }
+
+    /// Returns the runs that the agent was ordered to stop.
+    pub(crate) fn stops(&self) -> Vec<TaskRun> {
+        self.received.borrow().stops.clone()
+    }
+
+    fn accept(&self, orders: &Orders) -> OrdersAnswer {
+        let mut received = self.received.borrow_mut();
+        let done = |run: &TaskRun| StartResult {
+            run: run.clone(),
+            outcome: TaskOutcome::Done,
+        };
+        let starts: Vec<TaskRun> = orders
+            .starts
+            .iter()
+            .flat_map(|order| order.tasks.iter().map(|index| order.task_run(*index)))
+            .collect();
+        let answer = OrdersAnswer {
+            starts: starts.iter().map(done).collect(),
+            stops: orders.stops.iter().map(done).collect(),
+        };
+        received.starts.extend(starts);
+        received.stops.extend(orders.stops.iter().cloned());
+        answer
+    }
+}
+
+impl Handler for ScriptedAgent {
+    async fn handle(self: Rc<Self>, request: Request) -> Response {
+        assert_eq!(&*request.path, Orders::PATH);
+        let orders = request.message::<Orders>(&Secret::new(""));
+        Response::message(&orders.map(|orders| self.accept(&orders)))
+    }
+}
+
+/// Returns the status of a worker that has just answered its agent and has nothing running.
+pub(crate) fn idle_worker() -> WorkerStatus {
+    WorkerStatus {
+        announcement: Announcement {
+            worker: WorkerRef {
+                id: "i-scripted".into(),
+                born_unix_ms: 1,
+                machine: Some("m-scripted".into()),
+            },
+            service: "plank-desk".into(),
+            data_centre: "ventspils".into(),
+            rack: None,
+            labels: Vec::new(),
+            capacity: Resources::new(128_000, 262_144, 8),
+            state: WorkerState::Ready,
+            cold_remaining_ms: 0,
+            sequence: 1,
+        },
+        heartbeat_age_ms: 0,
+        answer_age_ms: Some(0),
+        has_lapsed: false,
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+/// Returns the first run of a task.
+pub(crate) fn first_run(task: &str) -> TaskRun {
+    TaskRun {
+        task: task.parse().expect("a task id"),
+        run: 1,
+    }
+}
+
+/// Returns a listed run without progress.
+pub(crate) fn running(run: TaskRun) -> RunningTask {
+    RunningTask {
+        run,
+        checkpoint: None,
+        progress_percent: 0,
+        recent: None,
+    }
+}
+
+/// Returns the first listed end of a worker.
+pub(crate) fn ended(run: TaskRun, kind: EndKind) -> EndedTask {
+    EndedTask {
+        number: 1,
+        run,
+        kind,
+        checkpoint: None,
+    }
+}
