End runs only by a lapse that is later than their assignment

Cause: a report said that the worker's lease has lapsed as a condition at the time of the report, and the owner ended every run assigned to the worker when the report arrived. After a cut, two or more reports tell of the same lapse before the lease is renewed; the first makes the worker usable, the owner starts tasks there, and the next one ends these. Class: a statement about the past applied to state that is newer than it.

Change: a status names the end of the lease that lapsed; the owner notes with each assignment the last lapse that it knew, and the order carries it. A lapse ends only runs that were assigned with an earlier one, and the agent refuses orders with an earlier one than it has reported, so that what the owner took for over cannot start later. Runs of a previous owner have no note: a lapse ends them only if the agent had seen the new epoch when it found it; otherwise a missing run is stopped first, as before. A worker that never answered its agent gets no renewal, instead of a claim that its lease has lapsed that names no lease.

Messages: new fields with defaults. An owner of an earlier release still reads has_lapsed, and its orders are refused by a new agent after a lapse until that owner is replaced.

--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Result;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_net::Client;
 use nutmegwalk_net::Drain;
@@ -38,6 +40,7 @@
     address: SocketAddr,
     client: Client,
     sequence: Cell<u64>,
+    epoch: Cell<Epoch>,
     received: RefCell<Received>,
 }
 
@@ -59,29 +62,37 @@
             address: server.local_address(),
             client: Client::new("scripted", Secret::new("")).expect("HTTP client"),
             sequence: Cell::new(0),
+            epoch: Cell::new(0),
             received: RefCell::default(),
         });
         compio::runtime::spawn(server.serve(Rc::clone(&agent), Drain::new())).detach();
         agent
     }
 
-    /// Sends a report to the owner and returns its answer.
-    pub(crate) async fn report(&self, owner: SocketAddr, worker: WorkerStatus) -> ReportAnswer {
+    /// Sends a report to the owner and adopts the epoch of its answer.
+    pub(crate) async fn report(&self, owner: SocketAddr, worker: WorkerStatus) {
+        let answer = self.try_report(owner, worker).await;
+        self.epoch.set(answer.expect("the owner answers").epoch);
+    }
+
+    /// Sends a report to the owner.
+    pub(crate) async fn try_report(
+        &self,
+        owner: SocketAddr,
+        worker: WorkerStatus,
+    ) -> Result<ReportAnswer> {
         self.sequence.set(self.sequence.get() + 1);
         let report = Report {
             agent: "scripted".into(),
             incarnation: 1,
             sequence: self.sequence.get(),
             address: self.address,
-            epoch: 1,
+            epoch: self.epoch.get(),
             is_eligible: false,
             unix_ms: nutmegwalk_base::clock::unix_ms(),
             worker: Some(worker),
         };
-        self.client
-            .send(owner, &report, REPORT_TIMEOUT)
-            .await
-            .expect("the owner answers")
+        self.client.send(owner, &report, REPORT_TIMEOUT).await
     }
 
     /// Returns the runs of a task that the agent was ordered to start.
@@ -147,6 +158,7 @@
         heartbeat_age_ms: 0,
         answer_age_ms: Some(0),
         has_lapsed: false,
+        lapsed_until_ms: None,
         running: Vec::new(),
         ended: Vec::new(),
     }
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -25,13 +25,23 @@
 /// The only task of job `a`.
 const TASK: &str = "a.0.0.0";
 
-/// Starts a domain with one busy worker, and a scripted agent whose worker gets the only task of job `a`. The agent
-/// reports `lapsed` until it is ordered to start the task.
+/// Returns the status of a worker whose lease has lapsed and was not renewed since.
+fn lapsed_worker() -> WorkerStatus {
+    WorkerStatus {
+        has_lapsed: true,
+        lapsed_until_ms: Some(1_000),
+        ..idle_worker()
+    }
+}
+
+/// Starts a domain with `hosts` busy workers, and a scripted agent whose worker gets the only task of job `a`. The
+/// agent reports `lapsed` until it is ordered to start the task.
 async fn place_on_scripted_worker(
+    hosts: u32,
     lapsed: &WorkerStatus,
 ) -> (TestDomain, Rc<ScriptedAgent>, SocketAddr) {
-    let domain = TestDomain::start(1).await;
-    domain.submit("normal", "busy", gang(1, 600_000)).await;
+    let domain = TestDomain::start(hosts as usize).await;
+    domain.submit("normal", "busy", gang(hosts, 600_000)).await;
     domain.wait_for_starts("busy.0.0.0", 1).await;
     let owner = domain.owner_address().expect("domain has an owner");
     let agent = ScriptedAgent::start().await;
@@ -47,9 +57,8 @@
 cases! {
     // Guards against a second run beside one that began after the lapse that a report tells of.
     run_that_began_after_a_lapse_outlives_a_repeated_report_of_it => {
-        let lapsed = WorkerStatus { has_lapsed: true, ..idle_worker() };
-        let (domain, agent, owner) = place_on_scripted_worker(&lapsed).await;
-        agent.report(owner, lapsed).await;
+        let (domain, agent, owner) = place_on_scripted_worker(1, &lapsed_worker()).await;
+        agent.report(owner, lapsed_worker()).await;
         let end = ended(first_run(TASK), EndKind::Done);
         agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
         domain
@@ -60,4 +69,37 @@
             .await;
         assert_eq!(agent.ordered_runs(TASK), [1]);
     }
+
+    // Guards against a new owner that ends a run because of a lapse that the previous owner knew when it assigned it.
+    run_inherited_with_a_lapse_found_under_an_earlier_epoch_is_stopped_before_it_starts_again => {
+        let (domain, agent, owner) = place_on_scripted_worker(2, &lapsed_worker()).await;
+        domain.kill_agent(domain.owner().expect("domain has an owner"));
+        domain.wait_until("another agent takes over", || domain.owner_address() != Some(owner)).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        while agent.stops().is_empty() && agent.ordered_runs(TASK) == [1] {
+            // The agent has not seen the epoch of the new owner, which may still read the jobs.
+            let _ = agent.try_report(owner, lapsed_worker()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+        assert_eq!(agent.stops(), [first_run(TASK)]);
+        let end = ended(first_run(TASK), EndKind::Stopped);
+        agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
+        domain.cancel("normal", "busy").await;
+        domain.wait_until("the task is ordered again", || {
+            agent.ordered_runs(TASK) == [1, 2] || !domain.events.started_runs(TASK).is_empty()
+        }).await;
+    }
+
+    // Guards against a run that stays assigned for ever to a worker that never answers a restarted agent.
+    run_on_a_worker_that_does_not_answer_its_agent_starts_elsewhere => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        domain.cancel("normal", "busy").await;
+        let unanswered = WorkerStatus { answer_age_ms: None, ..idle_worker() };
+        while domain.events.started_runs(TASK).is_empty() {
+            agent.report(owner, unanswered.clone()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
 }
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -7,6 +7,7 @@
 use log::info;
 use log::warn;
 
+use crate::job::AssignedAfter;
 use crate::job::AssignmentState;
 use crate::job::StopState;
 use crate::term::State;
@@ -317,6 +318,10 @@
                 payload: job.record.spec.payload.clone(),
                 checkpoint: run.resumed_from.clone(),
                 ticket: None,
+                known_lapse_ms: match assignment.assigned_after {
+                    AssignedAfter::Lapse(known_ms) => known_ms,
+                    AssignedAfter::EarlierTerm => None,
+                },
             });
             order.tasks.push(assignment.index);
         }
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -6,6 +6,7 @@
 
 use nutmegwalk_placement::WaitReason;
 use nutmegwalk_store::RowVersion;
+use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::Attempt;
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRecord;
@@ -43,11 +44,35 @@
     Accepted(Instant),
 }
 
+/// What the owner knew of the worker's lease when it assigned a run. A lapse that is reported later ends only runs
+/// that are older than it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AssignedAfter {
+    /// A previous owner assigned the run, and what it knew is not stored.
+    EarlierTerm,
+    /// This owner assigned the run when this was the last reported lapse, as the end of that lease on the worker's
+    /// clock, in milliseconds.
+    Lapse(Option<u64>),
+}
+
+impl AssignedAfter {
+    /// Returns whether a status shows that the lease under which the run was started, if it was, has lapsed.
+    /// `is_current_epoch` tells whether the agent had seen the epoch of this term when it made the status.
+    pub(crate) fn has_lapsed(self, status: &WorkerStatus, is_current_epoch: bool) -> bool {
+        match self {
+            // The agent carries out no more orders of earlier epochs.
+            Self::EarlierTerm => status.has_lapsed && is_current_epoch,
+            Self::Lapse(known_ms) => known_ms < status.lapsed_until_ms,
+        }
+    }
+}
+
 /// Assignment of a task of a run to a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Assignment {
     pub(crate) index: TaskIndex,
     pub(crate) worker: WorkerRef,
+    pub(crate) assigned_after: AssignedAfter,
     pub(crate) state: AssignmentState,
     pub(crate) stop: StopState,
     /// When `state` was entered.
@@ -63,10 +88,17 @@
 }
 
 impl Assignment {
-    fn new(index: TaskIndex, worker: WorkerRef, state: AssignmentState, now: Instant) -> Self {
+    fn new(
+        index: TaskIndex,
+        worker: WorkerRef,
+        assigned_after: AssignedAfter,
+        state: AssignmentState,
+        now: Instant,
+    ) -> Self {
         Self {
             index,
             worker,
+            assigned_after,
             state,
             stop: StopState::None,
             since: now,
@@ -128,12 +160,15 @@
         attempt: &Attempt,
         revision: u64,
         state: AssignmentState,
+        assigned_after: impl Fn(&WorkerRef) -> AssignedAfter,
         now: Instant,
     ) -> Self {
         let first = unit.task.unwrap_or(0);
         let assignments = (first..)
             .zip(&attempt.workers)
-            .map(|(index, worker)| Assignment::new(index, worker.clone(), state, now))
+            .map(|(index, worker)| {
+                Assignment::new(index, worker.clone(), assigned_after(worker), state, now)
+            })
             .collect();
         Self {
             run: attempt.run,
@@ -247,7 +282,14 @@
     ) {
         self.stored_version = Some(version);
         for (unit, attempt) in progress.attempts(id, &self.record.spec) {
-            let run = LiveRun::new(&unit, attempt, 0, AssignmentState::Inherited, now);
+            let run = LiveRun::new(
+                &unit,
+                attempt,
+                0,
+                AssignmentState::Inherited,
+                |_| AssignedAfter::EarlierTerm,
+                now,
+            );
             self.units.entry(unit).or_default().runs.push(run);
         }
         if progress.state.is_final() {
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -1,11 +1,13 @@
 //! Scheduling loop: when decisions are made, and how they are carried out.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use log::info;
 
+use crate::job::AssignedAfter;
 use crate::job::AssignmentState;
 use crate::job::Job;
 use crate::job::LiveRun;
@@ -13,6 +15,8 @@
 use crate::run_index::RunIndex;
 use crate::term::Term;
 use crate::term::as_ms;
+use crate::worker::Worker;
+use nutmegwalk_base::WorkerId;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_placement::RunningUnit;
@@ -172,6 +176,7 @@
             runs.push(begin_run(
                 job,
                 &mut state.runs,
+                &state.workers,
                 unit,
                 workers,
                 step.is_guaranteed,
@@ -183,6 +188,7 @@
                 runs.push(begin_run(
                     job,
                     &mut state.runs,
+                    &state.workers,
                     unit,
                     vec![worker.clone()],
                     step.is_guaranteed,
@@ -267,6 +273,7 @@
 fn begin_run(
     job: &mut Job,
     index: &mut RunIndex,
+    known_workers: &BTreeMap<WorkerId, Worker>,
     unit: UnitId,
     workers: Vec<WorkerRef>,
     is_guaranteed: bool,
@@ -288,6 +295,10 @@
         &attempt,
         job.revision + 1,
         AssignmentState::Unstored,
+        |worker| {
+            let known = known_workers.get(&worker.id);
+            AssignedAfter::Lapse(known.and_then(|known| known.lapsed_until_ms))
+        },
         now,
     );
     live.resumed_from = checkpoint;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -59,13 +59,7 @@
             self.record_worker(report, status, now);
             self.apply_ends(status);
             self.reconcile_runs(status, now);
-            if status.has_lapsed {
-                self.handle_lost_worker(
-                    &status.announcement.worker,
-                    Some(report.sequence),
-                    "the worker's lease has lapsed",
-                );
-            }
+            self.end_lapsed_runs(report, status);
         }
         self.state.borrow_mut().advance_acknowledgements();
         self.flush();
@@ -122,6 +116,28 @@
         }
     }
 
+    /// Ends the runs that are over because the worker's lease has lapsed since they were assigned.
+    fn end_lapsed_runs(&self, report: &Report, status: &WorkerStatus) {
+        let worker = &status.announcement.worker;
+        let is_current_epoch = report.epoch >= self.epoch();
+        self.end_runs_on(
+            worker,
+            |assignment| {
+                assignment
+                    .assigned_after
+                    .has_lapsed(status, is_current_epoch)
+            },
+            Some(report.sequence),
+            "the worker's lease has lapsed",
+        );
+        if status.has_lapsed
+            && let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
+            && known.announcement.worker == *worker
+        {
+            known.unexpected_runs.clear();
+        }
+    }
+
     /// Records the worker and its announcement.
     fn record_worker(self: &Rc<Self>, report: &Report, status: &WorkerStatus, now: Instant) {
         let worker = &status.announcement.worker;
@@ -142,6 +158,7 @@
                 last_report_at: now,
                 answered_at: None,
                 lease_expires_at: now,
+                lapsed_until_ms: None,
                 pending_ends: BTreeMap::new(),
                 acknowledged: 0,
                 unexpected_runs: BTreeMap::new(),
@@ -161,6 +178,7 @@
                 ""
             );
         }
+        entry.lapsed_until_ms = entry.lapsed_until_ms.max(status.lapsed_until_ms);
         entry.leaves_at = leaves_at(status, now);
         entry.announcement = status.announcement.clone();
         entry.agent = report.agent.clone();
@@ -274,7 +292,13 @@
         let mut state = self.state.borrow_mut();
         state.refresh_directory(now);
         let is_standby = state.directory.is_standby(&report.agent);
-        let worker_lease = if self.is_valid() {
+        // The agent cannot tell whether the lease of a worker that has not answered it has lapsed. Without a renewal
+        // the lease ends on the owner's clock.
+        let has_answered = report
+            .worker
+            .as_ref()
+            .is_some_and(|status| status.answer_age_ms.is_some());
+        let worker_lease = if self.is_valid() && has_answered {
             self.settings.worker_lease
         } else {
             Duration::ZERO
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -342,9 +342,25 @@
     /// Ends all runs on an incarnation of a worker that is guaranteed to be over. `report` is the number of the
     /// report that shows it.
     pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, report: Option<u64>, reason: &str) {
+        self.end_runs_on(worker, |_| true, report, reason);
+        if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
+            && known.announcement.worker == *worker
+        {
+            known.unexpected_runs.clear();
+        }
+    }
+
+    /// Ends the runs on an incarnation of a worker for which `is_over` holds.
+    pub(crate) fn end_runs_on(
+        &self,
+        worker: &WorkerRef,
+        is_over: impl Fn(&Assignment) -> bool,
+        report: Option<u64>,
+        reason: &str,
+    ) {
         let mut lost = Vec::new();
         for (unit, run, assignment) in self.state.borrow().assignments_on(worker) {
-            if assignment.state != AssignmentState::Ended {
+            if assignment.state != AssignmentState::Ended && is_over(assignment) {
                 let task = unit.task_id(assignment.index);
                 let ended = TaskRun { task, run: run.run };
                 lost.push((ended, assignment.checkpoint.clone()));
@@ -362,11 +378,6 @@
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
         }
-        if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
-            && known.announcement.worker == *worker
-        {
-            known.unexpected_runs.clear();
-        }
     }
 }
 
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -49,6 +49,8 @@
     pub(crate) answered_at: Option<Instant>,
     /// Time at which the worker's lease is guaranteed to have lapsed if no further report is answered.
     pub(crate) lease_expires_at: Instant,
+    /// Last reported lapse of the worker's lease, as the end of that lease on the worker's clock, in milliseconds.
+    pub(crate) lapsed_until_ms: Option<u64>,
     /// Ends that were applied and are not acknowledged yet, by number, with the revision of the job that
     /// contains their effects.
     pub(crate) pending_ends: BTreeMap<u64, Option<(JobId, u64)>>,
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -31,8 +31,13 @@
     pub heartbeat_age_ms: u64,
     /// Time since the worker last answered the agent, in milliseconds; `None` before the first answer.
     pub answer_age_ms: Option<u64>,
-    /// Whether the worker's lease has provably lapsed since its last answer, so that nothing runs on it.
+    /// Whether the worker's lease had provably lapsed when the status was made, so that nothing ran on it then. Runs
+    /// may have been started since.
     pub has_lapsed: bool,
+    /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds. The runs that were
+    /// assigned before the owner knew of this lapse are over. `None` from an agent of an earlier release.
+    #[serde(default)]
+    pub lapsed_until_ms: Option<u64>,
     /// Running tasks.
     pub running: Vec<RunningTask>,
     /// Ends that the owner has not acknowledged, oldest first.
@@ -121,6 +126,10 @@
     pub checkpoint: Option<Box<str>>,
     /// Proof that the worker may run the step, if the queue requires one.
     pub ticket: Option<Box<str>>,
+    /// Last lapse of the worker's lease, as in [`WorkerStatus::lapsed_until_ms`], that the owner knew of when it
+    /// assigned the run. The order is void after a later one, which the owner takes for the end of the run.
+    #[serde(default)]
+    pub known_lapse_ms: Option<u64>,
 }
 
 impl StartOrder {
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -157,6 +157,9 @@
         if !is_valid {
             return Err(Refusal::Expired);
         }
+        if order.known_lapse_ms < worker.lapsed_until_ms {
+            return Err(Refusal::LeasePassed);
+        }
         let Some(lease_until_clock_ms) = state.lease_until_ms(worker, &self.timings) else {
             return Err(Refusal::LeasePassed);
         };
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -78,7 +78,6 @@
     report_needed: Signal,
     /// Raised when the worker should be polled immediately.
     poll_requested: Signal,
-    started_at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -108,8 +107,9 @@
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
     pub(crate) ended: Vec<EndedTask>,
-    /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds.
-    lapsed_until_ms: Option<u64>,
+    /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds. No start that was
+    /// assigned before the owner knew of this lapse may be sent to the worker.
+    pub(crate) lapsed_until_ms: Option<u64>,
     /// Runs that were started, with the worker's clock at that time. A list that the worker made earlier
     /// does not contain them.
     pub(crate) recent_starts: Vec<(TaskRun, u64)>,
@@ -218,7 +218,6 @@
                 state: RefCell::new(State::default()),
                 report_needed: Signal::new(),
                 poll_requested: Signal::new(),
-                started_at: clock::now(),
             }),
         }
     }
@@ -285,13 +284,8 @@
             announcement: worker.announcement.clone(),
             heartbeat_age_ms: since(worker.heartbeat_at),
             answer_age_ms: worker.answered_at.map(since),
-            has_lapsed: match &worker.clock {
-                Some(clock) => clock.has_lapsed(now),
-                None => {
-                    now.saturating_duration_since(self.inner.started_at)
-                        > self.inner.timings.max_lease * 2
-                }
-            },
+            lapsed_until_ms: worker.lapsed_until_ms,
+            has_lapsed: worker.clock.is_some_and(|clock| clock.has_lapsed(now)),
             running: worker.running.clone(),
             ended: worker.ended.clone(),
         })
@@ -332,6 +326,15 @@
         if is_new_epoch || is_renewable_again || is_acknowledged {
             self.inner.poll_requested.raise();
         }
+        let has_lapsed = state
+            .worker
+            .as_ref()
+            .and_then(|worker| worker.clock)
+            .is_some_and(|clock| clock.has_lapsed(now));
+        if is_new_epoch && has_lapsed {
+            // A new owner relies on a lapse only if it was found under its epoch.
+            self.inner.report_needed.raise();
+        }
     }
 
     /// Waits until a report should be sent to the owner immediately.
--- a/crates/supervisor/src/worker.rs
+++ b/crates/supervisor/src/worker.rs
@@ -118,7 +118,8 @@
     StaleEpoch,
     /// This run or a later one was stopped or has ended on the worker.
     SupersededRun,
-    /// The lease in the request had already ended, or the agent may not renew the lease now.
+    /// The lease in the request had already ended, the agent may not renew the lease now, or the lease has lapsed
+    /// since the run was assigned.
     LeasePassed,
     /// The order reached the worker's agent, or was carried out by it, after its expiry.
     Expired,
--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -13,6 +13,8 @@
 use futures_util::future::LocalBoxFuture;
 
 use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Error;
+use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
 use nutmegwalk_supervisor::Orders;
@@ -42,10 +44,14 @@
 /// The owner's clock at its last answer, in milliseconds.
 const OWNER_CLOCK_MS: u64 = 10_000;
 
-/// Worker that starts every task, or answers no start.
+/// Lease of the worker in the tests of lapses.
+const SHORT_LEASE: Duration = Duration::from_millis(100);
+
+/// Worker that starts every task, or answers no start, and answers polls unless it refuses connections.
 #[derive(Default)]
 struct CountingWorker {
     is_silent: Cell<bool>,
+    refuses_polls: Cell<bool>,
     starts: Cell<u32>,
 }
 
@@ -87,6 +93,9 @@
             ..PollAnswer::default()
         };
         async move {
+            if self.refuses_polls.get() {
+                return Err(Error::new(ErrorKind::Unreachable, "connection refused"));
+            }
             compio::time::sleep(request.wait.max(Duration::from_millis(10))).await;
             Ok(answer)
         }
@@ -109,6 +118,7 @@
             payload: "".into(),
             checkpoint: None,
             ticket: None,
+            known_lapse_ms: None,
         }],
         stops: Vec::new(),
         paces: Vec::new(),
@@ -117,8 +127,16 @@
 
 /// Returns a supervisor whose worker has answered a poll, and which has an answer of the owner with `epoch`.
 async fn supervise(port: &Rc<CountingWorker>, epoch: Epoch) -> Supervisor {
+    supervise_with(port, epoch, SupervisorTimings::default()).await
+}
+
+async fn supervise_with(
+    port: &Rc<CountingWorker>,
+    epoch: Epoch,
+    timings: SupervisorTimings,
+) -> Supervisor {
     let port: Rc<dyn WorkerPort> = Rc::<CountingWorker>::clone(port);
-    let supervisor = Supervisor::new(port, SupervisorTimings::default());
+    let supervisor = Supervisor::new(port, timings);
     supervisor.record_heartbeat(announcement());
     supervisor.apply_answer(&answer(epoch, OWNER_CLOCK_MS), clock::now());
     let running = supervisor.clone();
@@ -133,9 +151,32 @@
     supervisor
 }
 
+/// Returns a supervisor that has reported a lapse of its worker's lease, and the lapse. The worker answers again.
+async fn supervise_after_lapse(port: &Rc<CountingWorker>) -> (Supervisor, Option<u64>) {
+    let timings = SupervisorTimings {
+        max_lease: SHORT_LEASE,
+        ..SupervisorTimings::default()
+    };
+    let supervisor = supervise_with(port, EPOCH, timings).await;
+    port.refuses_polls.set(true);
+    let lapse = loop {
+        let status = supervisor.status().expect("a worker");
+        if status.has_lapsed {
+            break status.lapsed_until_ms;
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    };
+    port.refuses_polls.set(false);
+    (supervisor, lapse)
+}
+
 async fn start_outcome(supervisor: &Supervisor, starts_expire_ms: u64) -> TaskOutcome {
+    outcome_of(supervisor, start_order(starts_expire_ms)).await
+}
+
+async fn outcome_of(supervisor: &Supervisor, orders: Orders) -> TaskOutcome {
     let answer = supervisor
-        .execute(start_order(starts_expire_ms))
+        .execute(orders)
         .await
         .expect("the agent accepts the orders");
     answer.starts[0].outcome
@@ -175,6 +216,17 @@
         assert_eq!(outcome, TaskOutcome::Refused(Refusal::Expired));
     }
 
+    // Guards against a start of a run that the owner has ended because the lease has lapsed since it was assigned.
+    start_assigned_before_a_reported_lapse_is_refused => {
+        let port = Rc::new(CountingWorker::default());
+        let (supervisor, lapse) = supervise_after_lapse(&port).await;
+        let mut orders = start_order(u64::MAX);
+        assert_eq!(outcome_of(&supervisor, orders.clone()).await, TaskOutcome::Refused(Refusal::LeasePassed));
+        assert_eq!(port.starts.get(), 0);
+        orders.starts[0].known_lapse_ms = lapse;
+        assert_eq!(outcome_of(&supervisor, orders).await, TaskOutcome::Done);
+    }
+
     // Guards against repeating an unanswered start after the order has expired.
     order_that_expires_between_tries_is_not_repeated => {
         let port = Rc::new(CountingWorker::default());
