Leave the outcome of a start open after an unanswered try

What callers could see: a task runs twice at once (TWICE).

Cause: an agent repeats a start that its worker leaves unanswered. A refusal of the repetition by the worker, for example for want of room, was reported as the outcome of the order, although the first request may still take effect seconds later; the owner then started the task elsewhere. Refusals by the agent itself were held back already, but also when the earlier tries had not been sent at all.

Change: after a try that may take effect, any refusal but that of a replaced worker leaves the outcome unknown, so that the owner stops the run first.

Evidence: refusal_after_an_unanswered_try_has_an_unknown_outcome failed before: left Refused(NoRoom), right Unknown.

--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -21,6 +21,7 @@
 use crate::supervisor::with_timeout;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
@@ -90,14 +91,13 @@
     async fn start(&self, orders: &Orders, order: &StartOrder, index: u32) -> StartResult {
         let run = order.task_run(index);
         let mut outcome = TaskOutcome::Unknown;
-        for attempt in 0..MAX_ORDER_TRIES {
+        // Whether an unanswered request may still start the run.
+        let mut may_start = false;
+        for _ in 0..MAX_ORDER_TRIES {
             let request = match self.start_request(orders, order, &run) {
                 Ok(request) => request,
                 Err(refusal) => {
-                    // After an unanswered request the run may still start.
-                    if attempt == 0 || refusal == Refusal::OtherWorker {
-                        outcome = TaskOutcome::Refused(refusal);
-                    }
+                    outcome = refused(refusal, may_start);
                     break;
                 }
             };
@@ -111,11 +111,12 @@
                             self.record_start(&orders.worker, &run, answer.clock_ms);
                             TaskOutcome::Done
                         }
-                        Some(refusal) => TaskOutcome::Refused(refusal),
+                        Some(refusal) => refused(refusal, may_start),
                     };
                     break;
                 }
                 Err(error) => {
+                    may_start |= error.outcome() != Outcome::NotRun;
                     warn!(target: event::WORKER_UNANSWERED, task:% = run.task, run = run.run; "no answer to a start: {error}");
                 }
             }
@@ -264,3 +265,14 @@
         }
     }
 }
+
+/// Returns the outcome of a start that was refused at last. `may_start` tells whether an earlier try may still take
+/// effect.
+fn refused(refusal: Refusal, may_start: bool) -> TaskOutcome {
+    // A worker that has been replaced starts nothing any more.
+    if may_start && refusal != Refusal::OtherWorker {
+        TaskOutcome::Unknown
+    } else {
+        TaskOutcome::Refused(refusal)
+    }
+}
--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -51,6 +51,8 @@
 #[derive(Default)]
 struct CountingWorker {
     is_silent: Cell<bool>,
+    /// Number of starts that are not answered; later ones are refused.
+    refuses_after: Cell<Option<u32>>,
     refuses_polls: Cell<bool>,
     starts: Cell<u32>,
 }
@@ -58,12 +60,13 @@
 impl WorkerPort for CountingWorker {
     fn start<'a>(&'a self, _request: &'a StartRequest) -> LocalBoxFuture<'a, Result<StartAnswer>> {
         self.starts.set(self.starts.get() + 1);
-        if self.is_silent.get() {
+        let refuses_after = self.refuses_after.get();
+        if self.is_silent.get() || refuses_after.is_some_and(|count| self.starts.get() <= count) {
             return std::future::pending().boxed_local();
         }
         let answer = StartAnswer {
             clock_ms: None,
-            refusal: None,
+            refusal: refuses_after.map(|_| Refusal::NoRoom),
         };
         async move { Ok(answer) }.boxed_local()
     }
@@ -237,4 +240,13 @@
         assert_eq!(outcome, TaskOutcome::Unknown);
         assert_eq!(port.starts.get(), 1);
     }
+
+    // Guards against a start elsewhere of a task whose first, unanswered start takes effect late.
+    refusal_after_an_unanswered_try_has_an_unknown_outcome => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        port.refuses_after.set(Some(1));
+        assert_eq!(start_outcome(&supervisor, u64::MAX).await, TaskOutcome::Unknown);
+        assert_eq!(port.starts.get(), 2);
+    }
 }
