Stop a run whose repeated order is refused, instead of giving it up

What callers could see: a task runs twice at once, or again after it was done (TWICE).

Cause: the owner repeats an order to start a task when the agent's answer is lost, for example in a cut. The agent had carried out the first one, and refused the repetition because the order had expired, the lease could not be renewed, the worker was leaving, or the run had ended already. The owner took each refusal for the fate of the run, recorded it as lost and started the task elsewhere.

Change: the owner counts the orders to start a run that may have been received. The refusal of a repeated one, or one because the run has ended or was stopped there, leads to a stop, whose outcome shows whether the run was there. An agent answers a repeated order for a run that its worker has with done.

--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use nutmegwalk_supervisor::EndedTask;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::OrdersAnswer;
+use nutmegwalk_supervisor::Refusal;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::RunningTask;
@@ -42,6 +44,19 @@
     sequence: Cell<u64>,
     epoch: Cell<Epoch>,
     received: RefCell<Received>,
+    /// Reactions to the next messages with starts; the others are carried out.
+    pub(crate) reactions: RefCell<VecDeque<Reaction>>,
+}
+
+/// How the agent reacts to the orders of one message.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Reaction {
+    /// It carries them out and answers.
+    CarryOut,
+    /// It carries them out, but its answer is lost.
+    LoseAnswer,
+    /// It refuses all starts and carries out all stops.
+    Refuse(Refusal),
 }
 
 /// Orders that the agent has accepted, oldest first.
@@ -64,6 +79,7 @@
             sequence: Cell::new(0),
             epoch: Cell::new(0),
             received: RefCell::default(),
+            reactions: RefCell::default(),
         });
         compio::runtime::spawn(server.serve(Rc::clone(&agent), Drain::new())).detach();
         agent
@@ -108,7 +124,7 @@
         self.received.borrow().stops.clone()
     }
 
-    fn accept(&self, orders: &Orders) -> OrdersAnswer {
+    fn accept(&self, orders: &Orders, reaction: Reaction) -> OrdersAnswer {
         let mut received = self.received.borrow_mut();
         let done = |run: &TaskRun| StartResult {
             run: run.clone(),
@@ -120,7 +136,16 @@
             .flat_map(|order| order.tasks.iter().map(|index| order.task_run(*index)))
             .collect();
         let answer = OrdersAnswer {
-            starts: starts.iter().map(done).collect(),
+            starts: starts
+                .iter()
+                .map(|run| match reaction {
+                    Reaction::Refuse(refusal) => StartResult {
+                        run: run.clone(),
+                        outcome: TaskOutcome::Refused(refusal),
+                    },
+                    Reaction::CarryOut | Reaction::LoseAnswer => done(run),
+                })
+                .collect(),
             stops: orders.stops.iter().map(done).collect(),
         };
         received.starts.extend(starts);
@@ -132,8 +157,21 @@
 impl Handler for ScriptedAgent {
     async fn handle(self: Rc<Self>, request: Request) -> Response {
         assert_eq!(&*request.path, Orders::PATH);
-        let orders = request.message::<Orders>(&Secret::new(""));
-        Response::message(&orders.map(|orders| self.accept(&orders)))
+        let orders = match request.message::<Orders>(&Secret::new("")) {
+            Ok(orders) => orders,
+            Err(error) => return Response::error(&error),
+        };
+        let reaction = if orders.starts.is_empty() {
+            Reaction::CarryOut
+        } else {
+            let next = self.reactions.borrow_mut().pop_front();
+            next.unwrap_or(Reaction::CarryOut)
+        };
+        let answer = self.accept(&orders, reaction);
+        if matches!(reaction, Reaction::LoseAnswer) {
+            std::future::pending::<()>().await;
+        }
+        Response::message(&Ok(answer))
     }
 }
 
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::term::State;
 use crate::term::Term;
 use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_net::spawn_restarting;
@@ -74,7 +75,13 @@
         let Some(address) = address else {
             return false;
         };
+        self.count_start_orders(orders, |count| count + 1);
         let result = self.client.send(address, orders, ORDERS_TIMEOUT).await;
+        if let Err(error) = &result
+            && error.outcome() == Outcome::NotRun
+        {
+            self.count_start_orders(orders, |count| count - 1);
+        }
         let mut state = self.state.borrow_mut();
         let Some(known) = state.workers.get_mut(&worker.id) else {
             return true;
@@ -102,6 +109,27 @@
         is_answered
     }
 
+    /// Changes the number of orders of each run that is to be started.
+    fn count_start_orders(&self, orders: &Orders, change: impl Fn(u32) -> u32) {
+        let mut state = self.state.borrow_mut();
+        for order in &orders.starts {
+            for index in &order.tasks {
+                if let Some(assignment) = state.assignment_mut(&order.task_run(*index)) {
+                    assignment.start_orders = change(assignment.start_orders);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a refused order shows that the run was not started and will not be.
+    fn is_refusal_final(&self, run: &TaskRun, refusal: Refusal) -> bool {
+        let mut state = self.state.borrow_mut();
+        let assignment = state.assignment_mut(run);
+        let is_repetition = assignment.is_some_and(|assignment| assignment.start_orders > 1);
+        // An earlier order may have been carried out, and the run may have ended since.
+        !is_repetition && refusal != Refusal::SupersededRun
+    }
+
     /// Returns the orders for a worker, if any, and the signal for new ones; `None` when the incarnation of the
     /// worker is over or another process is the owner.
     fn next_orders(
@@ -191,7 +219,11 @@
                 if matches!(refusal, Refusal::Unhealthy | Refusal::Malformed) {
                     self.record_worker_failure(worker);
                 }
-                self.apply_end(worker, &result.run, EndKind::Lost, None);
+                if self.is_refusal_final(&result.run, refusal) {
+                    self.apply_end(worker, &result.run, EndKind::Lost, None);
+                } else {
+                    self.stop_task(&result.run);
+                }
             }
             TaskOutcome::Unknown | TaskOutcome::Absent => {
                 warn!(target: event::START_UNANSWERED,
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -75,6 +75,8 @@
     pub(crate) assigned_after: AssignedAfter,
     pub(crate) state: AssignmentState,
     pub(crate) stop: StopState,
+    /// Number of orders to start the run that the agent has received or may have received.
+    pub(crate) start_orders: u32,
     /// When `state` was entered.
     pub(crate) since: Instant,
     pub(crate) progress_percent: u32,
@@ -101,6 +103,7 @@
             assigned_after,
             state,
             stop: StopState::None,
+            start_orders: 0,
             since: now,
             progress_percent: 0,
             progress_since: None,
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -403,6 +403,13 @@
             })
     }
 
+    /// Returns the assignment of the task of a run.
+    pub(crate) fn assignment_mut(&mut self, run: &TaskRun) -> Option<&mut Assignment> {
+        let job = self.jobs.get_mut(&run.task.job)?;
+        let unit = job.record.spec.unit_of(&run.task)?;
+        job.assignment_mut(&unit, run.run, run.task.index)
+    }
+
     /// Marks the progress of a job as changed and returns the new revision.
     pub(crate) fn mark_changed(&mut self, id: &JobId) -> u64 {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -90,6 +90,13 @@
     /// Starts one task; repeats the request while the worker does not answer.
     async fn start(&self, orders: &Orders, order: &StartOrder, index: u32) -> StartResult {
         let run = order.task_run(index);
+        if self.is_running(&orders.worker, &run) {
+            // The order is a repetition; the answer to the earlier one was lost.
+            return StartResult {
+                run,
+                outcome: TaskOutcome::Done,
+            };
+        }
         let mut outcome = TaskOutcome::Unknown;
         // Whether an unanswered request may still start the run.
         let mut may_start = false;
@@ -132,6 +139,19 @@
         StartResult { run, outcome }
     }
 
+    /// Returns whether the worker listed the run as running, or has started it since, and its lease has not lapsed.
+    fn is_running(&self, addressed: &WorkerRef, run: &TaskRun) -> bool {
+        let state = self.state.borrow();
+        let worker = state.worker.as_ref();
+        worker.is_some_and(|worker| {
+            worker.worker() == addressed
+                && worker.running.iter().any(|task| task.run == *run)
+                && worker
+                    .clock
+                    .is_some_and(|clock| !clock.has_lapsed(clock::now()))
+        })
+    }
+
     /// Builds the request, or returns the refusal if the state of the agent already rules out the start.
     fn start_request(
         &self,
--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -249,4 +249,13 @@
         assert_eq!(start_outcome(&supervisor, u64::MAX).await, TaskOutcome::Unknown);
         assert_eq!(port.starts.get(), 2);
     }
+
+    // Guards against refusing the repeated order for a run that the worker has, which the owner takes for lost.
+    repeated_order_for_a_run_on_the_worker_is_done_although_it_has_expired => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        assert_eq!(start_outcome(&supervisor, OWNER_CLOCK_MS + 60_000).await, TaskOutcome::Done);
+        assert_eq!(start_outcome(&supervisor, OWNER_CLOCK_MS).await, TaskOutcome::Done);
+        assert_eq!(port.starts.get(), 1);
+    }
 }
