Keep a renewal of a lease in force when another one was not sent

What callers could see: a task runs twice at once (TWICE), its first run on a worker whose lease was said to have lapsed.

Cause: requests that are sent at the same time, such as the starts of a gang's members, carry the same end of the lease. When one of them could not be sent, its renewal was taken back by comparing that end, although another request with the same end had been received; the agent then found the lease lapsed too early.

Change: a renewal is taken back only if none was begun after it. A lapse that was reported is not replaced by an earlier one.

Evidence: cancelled_renewal_leaves_a_later_one_with_the_same_end_in_force fails when the comparison with the last renewal is taken out, as the comparison of ends did.

--- a/crates/supervisor/src/lease.rs
+++ b/crates/supervisor/src/lease.rs
@@ -15,6 +15,15 @@
     answered_at: Instant,
     /// Latest end of the lease that the worker may have received, on its clock, in milliseconds.
     lease_until_clock_ms: u64,
+    /// Number of renewals that were begun.
+    renewals: u64,
+}
+
+/// A renewal whose request is being sent.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseRenewal {
+    number: u64,
+    previous_until_clock_ms: u64,
 }
 
 impl LeaseClock {
@@ -27,6 +36,7 @@
             clock_ms,
             answered_at,
             lease_until_clock_ms: clock_ms + as_ms(max_lease),
+            renewals: 0,
         }
     }
 
@@ -66,18 +76,22 @@
         now.saturating_duration_since(self.answered_at)
     }
 
-    /// Records that a request with this end of the lease is being sent; returns the previous latest end.
-    pub fn begin_renewal(&mut self, lease_until_clock_ms: u64) -> u64 {
-        let previous = self.lease_until_clock_ms;
-        self.lease_until_clock_ms = previous.max(lease_until_clock_ms);
-        previous
+    /// Records that a request with this end of the lease is being sent.
+    pub fn begin_renewal(&mut self, lease_until_clock_ms: u64) -> LeaseRenewal {
+        let previous_until_clock_ms = self.lease_until_clock_ms;
+        self.lease_until_clock_ms = previous_until_clock_ms.max(lease_until_clock_ms);
+        self.renewals += 1;
+        LeaseRenewal {
+            number: self.renewals,
+            previous_until_clock_ms,
+        }
     }
 
-    /// Reverts a [`LeaseClock::begin_renewal`] that returned `previous`, because the request was not sent.
-    pub fn cancel_renewal(&mut self, lease_until_clock_ms: u64, previous: u64) {
-        // Another request may have extended the lease in the meantime.
-        if self.lease_until_clock_ms == lease_until_clock_ms {
-            self.lease_until_clock_ms = previous;
+    /// Reverts a renewal whose request was not sent, unless another one was begun since.
+    pub fn cancel_renewal(&mut self, renewal: LeaseRenewal) {
+        // A later renewal can have the same end, and may have been received.
+        if self.renewals == renewal.number {
+            self.lease_until_clock_ms = renewal.previous_until_clock_ms;
         }
     }
 
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -12,6 +12,7 @@
 mod worker;
 
 pub use lease::LeaseClock;
+pub use lease::LeaseRenewal;
 pub use message::Orders;
 pub use message::OrdersAnswer;
 pub use message::PaceOrder;
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -11,6 +11,7 @@
 use crate::Announcement;
 use crate::EndedTask;
 use crate::LeaseClock;
+use crate::LeaseRenewal;
 use crate::OwnerClock;
 use crate::PollAnswer;
 use crate::PollRequest;
@@ -147,7 +148,9 @@
             return;
         };
         let lapsed_until_ms = Some(clock.lease_until_clock_ms());
-        if self.lapsed_until_ms != lapsed_until_ms {
+        // The end of the lease goes back when a renewal turns out not to have been sent; a lapse that was reported
+        // stays.
+        if self.lapsed_until_ms < lapsed_until_ms {
             self.lapsed_until_ms = lapsed_until_ms;
             info!(target: event::WORKER_LAPSED,
                 worker = &*self.worker().id,
@@ -203,8 +206,7 @@
 /// A renewal of the lease in flight.
 pub(crate) struct Renewal {
     worker: WorkerRef,
-    until_ms: u64,
-    previous_until_ms: u64,
+    renewal: LeaseRenewal,
 }
 
 impl Supervisor {
@@ -428,11 +430,9 @@
         if worker.worker() != addressed {
             return None;
         }
-        let previous_until_ms = worker.clock.as_mut()?.begin_renewal(until_ms);
         Some(Renewal {
             worker: addressed.clone(),
-            until_ms,
-            previous_until_ms,
+            renewal: worker.clock.as_mut()?.begin_renewal(until_ms),
         })
     }
 
@@ -444,7 +444,7 @@
             && *worker.worker() == renewal.worker
             && let Some(clock) = &mut worker.clock
         {
-            clock.cancel_renewal(renewal.until_ms, renewal.previous_until_ms);
+            clock.cancel_renewal(renewal.renewal);
         }
     }
 
--- a/crates/supervisor/tests/lease.rs
+++ b/crates/supervisor/tests/lease.rs
@@ -138,4 +138,23 @@
         // A clock that is 2% slow shows 980 ms when 1,000 ms have passed.
         assert!(until_ms <= 100_980, "{until_ms}");
     }
+
+    // Guards against a lease that is taken for lapsed although a second renewal with the same end was received.
+    cancelled_renewal_leaves_a_later_one_with_the_same_end_in_force => {
+        let answered_at = Instant::now();
+        let mut clock = LeaseClock::new(100_000, answered_at, MAX_LEASE);
+        let cancelled = clock.begin_renewal(105_000);
+        clock.begin_renewal(105_000);
+        clock.cancel_renewal(cancelled);
+        assert!(!clock.has_lapsed(answered_at + Duration::from_millis(4_000)));
+    }
+
+    // Guards against a renewal that was not sent and keeps the lease of a crashed worker in force.
+    cancelled_renewal_does_not_extend_the_lease => {
+        let answered_at = Instant::now();
+        let mut clock = LeaseClock::new(100_000, answered_at, MAX_LEASE);
+        let cancelled = clock.begin_renewal(105_000);
+        clock.cancel_renewal(cancelled);
+        assert!(clock.has_lapsed(answered_at + Duration::from_millis(4_000)));
+    }
 }
