Drop reports that an ended process of an agent had sent

What callers could see: a start on room that the worker no longer has (LIMIT).

Cause: reports are ordered by their number within a process of the agent. The kernel goes on delivering a request after its process has given it up or has ended, so a report of an earlier process can arrive after those of its successor; its view of the worker, with a capacity of before, was then taken for the current one until the next report.

Change: among processes of an agent, the number of the worker's last heartbeat orders the reports.

Evidence: late_report_of_an_ended_agent_process_does_not_restore_its_view failed before: the task that needs eight accelerators was ordered on a worker with four.

--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_net::Client;
@@ -42,6 +43,8 @@
     address: SocketAddr,
     client: Client,
     sequence: Cell<u64>,
+    /// Incarnation of the process that the next report comes from.
+    pub(crate) incarnation: Cell<Incarnation>,
     epoch: Cell<Epoch>,
     received: RefCell<Received>,
     /// Reactions to the next messages with starts; the others are carried out.
@@ -77,6 +80,7 @@
             address: server.local_address(),
             client: Client::new("scripted", Secret::new("")).expect("HTTP client"),
             sequence: Cell::new(0),
+            incarnation: Cell::new(1),
             epoch: Cell::new(0),
             received: RefCell::default(),
             reactions: RefCell::default(),
@@ -100,7 +104,7 @@
         self.sequence.set(self.sequence.get() + 1);
         let report = Report {
             agent: "scripted".into(),
-            incarnation: 1,
+            incarnation: self.incarnation.get(),
             sequence: self.sequence.get(),
             address: self.address,
             epoch: self.epoch.get(),
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -8,6 +8,7 @@
 
 use common::TestDomain;
 use common::gang;
+use common::job;
 use common::run;
 use common::scripted_agent::ScriptedAgent;
 use common::scripted_agent::ended;
@@ -102,4 +103,30 @@
         }
         assert_eq!(agent.ordered_runs(TASK), [1]);
     }
+
+    // Guards against a start on room that the worker no longer has, because a report that an ended process of the agent
+    // had sent arrives last.
+    late_report_of_an_ended_agent_process_does_not_restore_its_view => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "busy", gang(1, 600_000)).await;
+        domain.wait_for_starts("busy.0.0.0", 1).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        let agent = ScriptedAgent::start().await;
+        let late = idle_worker();
+        let mut current = idle_worker();
+        current.announcement.capacity.accelerators = 4;
+        current.announcement.sequence = late.announcement.sequence + 1;
+        agent.incarnation.set(2);
+        agent.report(owner, current.clone()).await;
+        agent.incarnation.set(1);
+        agent.report(owner, late).await;
+        domain.submit("normal", "a", gang(1, 100)).await;
+        domain.submit("normal", "small", job(1, 100)).await;
+        agent.incarnation.set(2);
+        while agent.ordered_runs("small.0.0.0").is_empty() && agent.ordered_runs(TASK).is_empty() {
+            agent.report(owner, current.clone()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(agent.ordered_runs(TASK).is_empty());
+    }
 }
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -66,15 +66,13 @@
         self.answer(report, now)
     }
 
-    /// Records the agent; `None` if a later report of the same incarnation was received before.
+    /// Records the agent; `None` if a later report of it was received before.
     fn record_agent(&self, report: &Report, now: Instant) -> Option<ReportedWorker> {
         let mut state = self.state.borrow_mut();
-        let known = state.agents.get(&report.agent);
-        if known.is_some_and(|known| {
-            known.incarnation == report.incarnation && known.sequence >= report.sequence
-        }) {
+        if state.is_late(report) {
             return None;
         }
+        let known = state.agents.get(&report.agent);
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = announcement.map(|announcement| announcement.worker.clone());
         let reported = if known.is_some_and(|known| known.worker == worker) {
@@ -337,6 +335,26 @@
 }
 
 impl State {
+    /// Returns whether a later report of the agent, or of a later process of it, was received before.
+    fn is_late(&self, report: &Report) -> bool {
+        let Some(known) = self.agents.get(&report.agent) else {
+            return false;
+        };
+        if known.incarnation == report.incarnation {
+            return known.sequence >= report.sequence;
+        }
+        // Incarnations have no order, but the worker's heartbeats do.
+        report.worker.as_ref().is_some_and(|status| {
+            let announcement = &status.announcement;
+            self.workers
+                .get(&announcement.worker.id)
+                .is_some_and(|worker| {
+                    worker.announcement.worker == announcement.worker
+                        && worker.announcement.sequence > announcement.sequence
+                })
+        })
+    }
+
     /// Records that a worker has a task of a run; returns false if the run is unexpected there.
     fn record_running(
         &mut self,
