Do not start jobs whose stored progress does not fit them

What callers saw: one progress row that another writer left, with other steps, units or workers than its job has, made the planning of every owner end again and again, so that no job of the domain was started any more. A row that could not be decoded was taken for a job without progress, which started anew.

Cause: the owner indexes the steps and units of a job with what the row contains, and the last run of a unit was incremented without a check.

Change: the owner compares inherited progress with the job (JobProgress::fits) and excludes jobs whose progress cannot be read, also when all rows are read again. What such a job has run is unknown, so it is not started.

--- /dev/null
+++ b/crates/assembly/tests/odd_entries.rs
@@ -0,0 +1,98 @@
+//! Tests of a domain with odd entries: rows and jobs that this system would not write. They must neither stop the
+//! owner nor affect other jobs.
+
+mod common;
+
+use std::time::Duration;
+
+use common::TestDomain;
+use common::job;
+use common::run;
+
+use nutmegwalk_store::Transaction;
+use nutmegwalk_workload::JobState;
+
+/// Nesting that overflows the stack of a decoder that recurses without a limit.
+const DEEP_NESTING: usize = 1_000_000;
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
+}
+
+/// Returns an accepted row whose field `spec` is `spec`.
+fn accepted(spec: &str) -> String {
+    format!(
+        "{{\"queue\":\"normal\",\"policy\":{{\"service\":\"plank-desk\",\"priority\":1,\"max_failures\":2,\
+         \"stretch\":3.0,\"completion_slack_ms\":1000,\"advice\":null}},\"config_version\":1,\
+         \"accepted_unix_ms\":1,\"spec\":{spec}}}"
+    )
+}
+
+fn one_task() -> String {
+    serde_json::to_string(&job(1, 50)).expect("a job")
+}
+
+impl TestDomain {
+    fn put(&self, key: &str, value: &str) {
+        self.store
+            .memory
+            .apply(&Transaction::new().with_put(key, value));
+    }
+
+    /// Runs an ordinary job to its end.
+    async fn assert_serves(&self, id: &str) {
+        self.submit("normal", id, job(2, 50)).await;
+        self.wait_for_state("normal", id, JobState::Completed).await;
+        self.assert_no_violations();
+    }
+}
+
+cases! {
+    // Guards against an owner that ends its planning again and again because of one progress row, as do its successors.
+    odd_progress_row_does_not_stop_the_owner => {
+        let domain = TestDomain::start(1).await;
+        let worker = "{\"id\":\"i-0\",\"born_unix_ms\":1,\"machine\":null}";
+        let attempt = |run: u32, workers: &str| format!("{{\"run\":{run},\"workers\":[{workers}]}}");
+        let with_steps = |steps: &str| format!("{{\"state\":\"running\",\"occurrences\":{{\"0\":[{steps}]}}}}");
+        let with_unit = |unit: &str| with_steps(&format!("{{\"units\":[{unit}]}}"));
+        let running = format!("{{\"last_run\":1,\"attempts\":[{}]}}", attempt(1, worker));
+        let rows = [
+            ("no_steps", with_steps("")),
+            ("other_steps", with_steps(&format!("{{\"is_done\":true}},{{\"units\":[{running}]}}"))),
+            ("other_units", with_unit(&format!("{running},{running}"))),
+            ("other_workers", with_unit(&format!("{{\"last_run\":1,\"attempts\":[{}]}}", attempt(1, &format!("{worker},{worker}"))))),
+            ("highest_run", with_unit("{\"last_run\":4294967295}")),
+            ("run_beyond_the_last", with_unit(&format!("{{\"attempts\":[{}]}}", attempt(7, worker)))),
+            ("other_occurrence", format!("{{\"state\":\"running\",\"occurrences\":{{\"7\":[{{\"units\":[{running}]}}]}}}}")),
+            ("large_number", with_unit("{\"last_run\":1e400}")),
+            ("negative_number", with_unit("{\"last_run\":-1}")),
+            ("empty", String::new()),
+            ("deep", "[".repeat(DEEP_NESTING)),
+            ("deep_field", format!("{{\"state\":\"running\",\"new\":{}1{}}}", "[".repeat(DEEP_NESTING), "]".repeat(DEEP_NESTING))),
+        ];
+        for (id, progress) in &rows {
+            domain.put(&format!("job/{id}/accepted"), &accepted(&one_task()));
+            domain.put(&format!("job/{id}/progress"), progress);
+        }
+        domain.kill_agent(0);
+        domain.start_agent(0).await;
+        domain.assert_serves("a").await;
+        domain.assert_serves("b").await;
+    }
+
+    // Guards against an owner that starts a job anew although its progress is only unreadable.
+    job_with_an_unreadable_progress_row_is_not_started => {
+        let domain = TestDomain::start(1).await;
+        domain.put("job/odd/accepted", &accepted(&one_task()));
+        domain.put("job/odd/progress", "{\"state\":7}");
+        domain.kill_agent(0);
+        domain.start_agent(0).await;
+        domain.assert_serves("a").await;
+        // A follower that has missed changes reads all rows again.
+        domain.store.memory.drop_history();
+        domain.put("op/other", "{}");
+        domain.assert_serves("b").await;
+        compio::time::sleep(Duration::from_millis(500)).await;
+        assert!(domain.events.started_runs("odd.0.0.0").is_empty());
+    }
+}
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -1,6 +1,7 @@
 //! Replica of the job rows in the store.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
     term: Rc<Term>,
     /// Jobs whose cancellation row arrived before the row of the job itself.
     early_cancels: RefCell<Vec<JobId>>,
+    /// Jobs whose stored progress cannot be read. What they have run is unknown, so they are not started.
+    unreadable: RefCell<BTreeSet<JobId>>,
 }
 
 impl JobReplica {
@@ -31,6 +34,7 @@
         Self {
             term,
             early_cancels: RefCell::default(),
+            unreadable: RefCell::default(),
         }
     }
 
@@ -49,7 +53,7 @@
 
     /// Adds an accepted job, unless it is known.
     fn apply_accepted(&self, id: &JobId, row: &Row) {
-        if self.term.state.borrow().jobs.contains_key(id) {
+        if self.term.state.borrow().jobs.contains_key(id) || self.unreadable.borrow().contains(id) {
             return;
         }
         let record: JobRecord = match serde_json::from_str(&row.value) {
@@ -101,15 +105,30 @@
         }
     }
 
+    /// Excludes a job whose stored progress cannot be read.
+    fn reject_progress(&self, id: &JobId, problem: &str) {
+        error!(target: event::ROW_UNREADABLE, job = &**id; "cannot read the progress row of a job: {problem}");
+        self.term.state.borrow_mut().jobs.remove(id);
+        self.unreadable.borrow_mut().insert(id.clone());
+    }
+
     /// Applies the progress that a previous owner stored.
     fn inherit(&self, id: &JobId, row: &Row) {
-        let progress: JobProgress = match serde_json::from_str(&row.value) {
+        let progress = match serde_json::from_str::<JobProgress>(&row.value) {
             Ok(progress) => progress,
             Err(error) => {
-                error!(target: event::ROW_UNREADABLE, job = &**id; "cannot read the progress row of a job: {error}");
+                self.reject_progress(id, &error.to_string());
                 return;
             }
         };
+        let has_fitting_spec = match self.term.state.borrow().jobs.get(id) {
+            Some(job) => progress.fits(&job.record.spec),
+            None => return,
+        };
+        if !has_fitting_spec {
+            self.reject_progress(id, "it does not match the job's steps");
+            return;
+        }
         let mut state = self.term.state.borrow_mut();
         let state = &mut *state;
         if let Some(job) = state.jobs.get_mut(id)
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -10,6 +10,7 @@
 use crate::Occurrence;
 use crate::Run;
 use crate::StepIndex;
+use crate::StepSpec;
 use crate::TaskId;
 use crate::UnitId;
 use nutmegwalk_base::WorkerId;
@@ -156,6 +157,24 @@
     pub units: Vec<UnitProgress>,
 }
 
+impl StepProgress {
+    fn fits(&self, spec: &StepSpec) -> bool {
+        let has_all_units = self.units.len() == spec.unit_count() as usize;
+        let tasks = spec.tasks_per_unit() as usize;
+        (self.units.is_empty() || has_all_units) && self.units.iter().all(|unit| unit.fits(tasks))
+    }
+}
+
+impl UnitProgress {
+    /// Returns whether this can be the progress of a unit with this number of tasks, and a later run has a number.
+    fn fits(&self, tasks: usize) -> bool {
+        let fits = |attempt: &Attempt| {
+            attempt.workers.len() == tasks && (1..=self.last_run).contains(&attempt.run)
+        };
+        self.last_run < Run::MAX && self.attempts.iter().all(fits)
+    }
+}
+
 /// Effect of a reported end of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndEffect {
@@ -336,7 +355,7 @@
             }
             EndKind::Failed if !attempt.has_failed => {
                 attempt.has_failed = true;
-                progress.failures += 1;
+                progress.failures = progress.failures.saturating_add(1);
                 let is_exhausted = max_failures.is_some_and(|limit| progress.failures >= limit);
                 EndEffect::Failed { is_exhausted }
             }
@@ -365,6 +384,24 @@
         }
     }
 
+    /// Returns whether this can be the progress of a job with `spec`. A row of another writer may differ from it in
+    /// the number of steps, units or workers.
+    #[must_use]
+    pub fn fits(&self, spec: &JobSpec) -> bool {
+        let occurrences = spec.occurrences();
+        let is_occurrence = |occurrence: &Occurrence| *occurrence < occurrences;
+        self.finished_below <= occurrences
+            && self.finished.iter().all(is_occurrence)
+            && self.occurrences.keys().all(is_occurrence)
+            && self.occurrences.values().all(|steps| {
+                steps.len() == spec.steps.len()
+                    && steps
+                        .iter()
+                        .zip(&spec.steps)
+                        .all(|(step, step_spec)| step.fits(step_spec))
+            })
+    }
+
     /// Ends the job in a final state other than by completion.
     pub fn end(&mut self, state: JobState) {
         debug_assert!(state.is_final());
