Ignore accepted rows with an invalid job

What callers saw: one accepted row that another writer left, with a step that depends on a step that the job does not have, made the planning of every owner end again and again. A row with billions of tasks would have taken the memory of the process.

Cause: only entry hosts checked submitted jobs. The owner planned whatever it could decode.

Change: the owner checks the job of an accepted row as entry hosts do, and ignores the row with an error in the log.

--- a/crates/assembly/tests/odd_entries.rs
+++ b/crates/assembly/tests/odd_entries.rs
@@ -95,4 +95,37 @@
         compio::time::sleep(Duration::from_millis(500)).await;
         assert!(domain.events.started_runs("odd.0.0.0").is_empty());
     }
+
+    // Guards against an owner that ends its planning again and again because of one accepted row.
+    odd_accepted_row_does_not_stop_the_owner => {
+        let domain = TestDomain::start(1).await;
+        let step = |fields: &str| accepted(&format!("{{\"payload\":\"\",\"steps\":[{{\"tasks\":1,\"demand\":{{}}{fields}}}]}}"));
+        let rows = [
+            ("no_steps", accepted("{\"payload\":\"\",\"steps\":[]}")),
+            ("after_itself", step(",\"after\":[0]")),
+            ("after_no_step", step(",\"after\":[9]")),
+            ("no_tasks", accepted("{\"payload\":\"\",\"steps\":[{\"tasks\":0,\"demand\":{}}]}")),
+            ("too_many_tasks", accepted("{\"payload\":\"\",\"steps\":[{\"tasks\":9000,\"demand\":{}}]}")),
+            ("large_number", step(",\"estimate_ms\":1e400")),
+            ("number_beyond_64_bits", step(",\"estimate_ms\":18446744073709551616")),
+            ("negative_number", step(",\"estimate_ms\":-1")),
+            ("fraction", step(",\"estimate_ms\":1.5")),
+            ("other_type", step(",\"after\":{}")),
+            ("missing_spec", "{\"queue\":\"normal\"}".to_owned()),
+            ("empty", String::new()),
+            ("truncated", accepted("{\"payload\":\"")),
+            ("deep", "[".repeat(DEEP_NESTING)),
+            ("deep_label", step(&format!(",\"required_label\":{}", "[".repeat(DEEP_NESTING)))),
+        ];
+        for (id, row) in &rows {
+            domain.put(&format!("job/{id}/accepted"), row);
+        }
+        domain.put("job//accepted", &step(""));
+        domain.put("job/accepted", &step(""));
+        domain.put("job/x/y/z", "x");
+        domain.assert_serves("a").await;
+        domain.kill_agent(0);
+        domain.start_agent(0).await;
+        domain.assert_serves("b").await;
+    }
 }
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -63,6 +63,11 @@
                 return;
             }
         };
+        // Entry hosts accept only valid jobs, but the row may be of another writer.
+        if let Err(problem) = record.spec.check() {
+            error!(target: event::ROW_UNREADABLE, job = &**id; "the row of an accepted job is invalid: {problem}");
+            return;
+        }
         let now = clock::now();
         let age_ms = self
             .term
