Let customers cancel a job whose progress is unreadable

What callers saw: a cancellation of a job whose progress row another writer had replaced was refused again and again with 'the job's progress changes too often'.

Cause: the view of entry hosts kept the version of a progress row only when it could read its content, and the cancellation depends on that version.

Change: the view keeps the version of every progress row.

--- a/crates/assembly/tests/odd_entries.rs
+++ b/crates/assembly/tests/odd_entries.rs
@@ -22,7 +22,7 @@
 /// Returns an accepted row whose field `spec` is `spec`.
 fn accepted(spec: &str) -> String {
     format!(
-        "{{\"queue\":\"normal\",\"policy\":{{\"service\":\"plank-desk\",\"priority\":1,\"max_failures\":2,\
+        "{{\"customer\":\"mill\",\"queue\":\"normal\",\"policy\":{{\"service\":\"plank-desk\",\"priority\":1,\"max_failures\":2,\
          \"stretch\":3.0,\"completion_slack_ms\":1000,\"advice\":null}},\"config_version\":1,\
          \"accepted_unix_ms\":1,\"spec\":{spec}}}"
     )
@@ -128,4 +128,15 @@
         domain.start_agent(0).await;
         domain.assert_serves("b").await;
     }
+
+    // Guards against a job that its customer cannot cancel, because its progress is unreadable.
+    job_with_an_unreadable_progress_row_can_be_cancelled => {
+        let domain = TestDomain::start(1).await;
+        for (id, progress) in [("text", "{"), ("state", "{\"state\":7}"), ("empty", "")] {
+            domain.put(&format!("job/{id}/accepted"), &accepted(&one_task()));
+            domain.put(&format!("job/{id}/progress"), progress);
+            domain.cancel("normal", id).await;
+            assert_eq!(domain.state("normal", id).await, Ok(JobState::Cancelled), "{id}");
+        }
+    }
 }
--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -178,11 +178,10 @@
         if kind == JobRow::Cancelled {
             job.is_cancelled = true;
         } else if row.version > job.progress_version {
+            // The version is known also of a row that cannot be read, and a cancellation needs no more.
+            job.progress_version = row.version;
             match serde_json::from_str::<JobProgress>(&row.value) {
-                Ok(progress) => {
-                    job.progress_version = row.version;
-                    job.progress_state = progress.state;
-                }
+                Ok(progress) => job.progress_state = progress.state,
                 Err(error) => {
                     error!(target: event::ROW_UNREADABLE, job = &*id; "cannot read the progress row of a job: {error}")
                 }
