Bound the arithmetic on the numbers of a job

What callers saw: one accepted job with large numbers (the longest estimate for many tasks or a chain of steps, the largest demand for several tasks, a due time or an interval at the end of the range) made the planning of every owner end again and again in a build with overflow checks and, for times, in every build. Without the checks the sums wrapped: an occurrence that is never due counted as due at once, and a job with the largest demand counted as guaranteed.

Cause: Duration::mul_f64 and the sums and products of milliseconds and resources had no bound.

Change: expected times are bounded by 100 years, and multiples saturate there, also for a stretch that is negative or too large. Due times and resources saturate.

--- a/crates/assembly/tests/odd_entries.rs
+++ b/crates/assembly/tests/odd_entries.rs
@@ -10,7 +10,11 @@
 use common::run;
 
 use nutmegwalk_store::Transaction;
+use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::JobState;
+use nutmegwalk_workload::Repeat;
+use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::StepSpec;
 
 /// Nesting that overflows the stack of a decoder that recurses without a limit.
 const DEEP_NESTING: usize = 1_000_000;
@@ -19,6 +23,16 @@
     ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
 }
 
+/// Defines tests that submit an odd job, each with the change that makes it odd.
+macro_rules! job_cases {
+    ($($name:ident => $change:expr;)*) => {
+        $(#[rstest::rstest] fn $name() {
+            let change: fn(&mut JobSpec) = $change;
+            run(|| assert_domain_serves_beside(change));
+        })*
+    };
+}
+
 /// Returns an accepted row whose field `spec` is `spec`.
 fn accepted(spec: &str) -> String {
     format!(
@@ -47,6 +61,26 @@
     }
 }
 
+fn repeat(first_due_unix_ms: u64, interval_ms: u64, count: u32) -> Option<Repeat> {
+    Some(Repeat {
+        first_due_unix_ms,
+        interval_ms,
+        count,
+    })
+}
+
+/// Submits a job with this change, and runs ordinary jobs beside it, also with a second owner.
+async fn assert_domain_serves_beside(change: fn(&mut JobSpec)) {
+    let domain = TestDomain::start(1).await;
+    let mut spec = job(1, 50);
+    change(&mut spec);
+    domain.submit("urgent", "odd", spec).await;
+    domain.assert_serves("a").await;
+    domain.kill_agent(0);
+    domain.start_agent(0).await;
+    domain.assert_serves("b").await;
+}
+
 cases! {
     // Guards against an owner that ends its planning again and again because of one progress row, as do its successors.
     odd_progress_row_does_not_stop_the_owner => {
@@ -140,3 +174,39 @@
         }
     }
 }
+
+// Guards against an owner that ends its planning again and again because of one job with large numbers.
+job_cases! {
+    job_with_the_longest_estimate => |spec| spec.steps[0].estimate_ms = u64::MAX;
+    job_with_many_tasks_of_the_longest_estimate => |spec| {
+        spec.steps[0].estimate_ms = u64::MAX;
+        spec.steps[0].tasks = 8_192;
+    };
+    job_with_a_chain_of_the_longest_estimates => |spec| {
+        let step = spec.steps[0].clone();
+        spec.steps = (0..256)
+            .map(|number: u32| StepSpec {
+                after: number.checked_sub(1).into_iter().collect(),
+                estimate_ms: u64::MAX,
+                ..step.clone()
+            })
+            .collect();
+    };
+    job_with_the_largest_demand => |spec| spec.steps[0].demand = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+    job_with_many_tasks_of_the_largest_demand => |spec| {
+        spec.steps[0].demand = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+        spec.steps[0].tasks = 100;
+    };
+    gang_with_the_largest_demand => |spec| {
+        spec.steps[0].demand = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+        spec.steps[0].tasks = 100;
+        spec.steps[0].is_gang = true;
+    };
+    job_that_is_never_due => |spec| spec.repeat = repeat(u64::MAX, u64::MAX, u32::MAX);
+    job_with_the_longest_interval => |spec| spec.repeat = repeat(0, u64::MAX, u32::MAX);
+    job_with_the_largest_limits => |spec| {
+        spec.steps[0].latency_target_ms = Some(u64::MAX);
+        spec.steps[0].max_tasks_per_worker = Some(u32::MAX);
+        spec.steps[0].max_unavailable = Some(u32::MAX);
+    };
+}
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -259,7 +259,9 @@
         runs: snapshot.running.len() as u64,
         workers_open: workers_open as u64,
         workers_closed: (snapshot.workers.len() - workers_open) as u64,
-        accelerators_free: open().map(|worker| worker.free().accelerators).sum(),
+        accelerators_free: open()
+            .map(|worker| worker.free().accelerators)
+            .fold(0, u64::saturating_add),
     }
 }
 
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -192,19 +192,24 @@
 fn accelerators_of(spec: &JobSpec) -> u64 {
     spec.steps
         .iter()
-        .map(|step| step.demand.accelerators * u64::from(step.tasks))
+        .map(|step| {
+            step.demand
+                .accelerators
+                .saturating_mul(u64::from(step.tasks))
+        })
         .max()
         .unwrap_or(0)
 }
 
-/// Returns the occurrences of a job that are due and not finished.
+/// Returns the first occurrences of a job that are due and not finished.
 fn due_occurrences(job: &Job, unix_ms: u64) -> Vec<Occurrence> {
     let first = job.progress.first_unfinished();
     let Some(repeat) = &job.record.spec.repeat else {
         return if first == 0 { vec![0] } else { Vec::new() };
     };
+    let latest_due_ms = unix_ms.saturating_sub(DUE_MARGIN_MS);
     (first..repeat.count)
-        .take_while(|occurrence| repeat.due_unix_ms(*occurrence) + DUE_MARGIN_MS <= unix_ms)
+        .take_while(|occurrence| repeat.due_unix_ms(*occurrence) <= latest_due_ms)
         .filter(|occurrence| !job.progress.is_finished(*occurrence))
         .collect()
 }
@@ -253,9 +258,13 @@
     } else {
         elapsed
     };
-    let cores = step.demand.milli_cores / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
+    let accelerator_cores = step
+        .demand
+        .accelerators
+        .saturating_mul(CORES_PER_ACCELERATOR);
+    let cores = accelerator_cores.saturating_add(step.demand.milli_cores / 1000);
     #[expect(clippy::cast_precision_loss, reason = "cores of a unit")]
-    let loss_core_s = (cores * active.len() as u64) as f64 * unsaved.as_secs_f64();
+    let loss_core_s = cores as f64 * active.len() as f64 * unsaved.as_secs_f64();
     let is_done = job.progress.state.is_final() || job.progress.is_unit_done(unit);
     RunningUnit {
         unit: unit.clone(),
--- a/crates/domain/src/urgency.rs
+++ b/crates/domain/src/urgency.rs
@@ -14,6 +14,9 @@
 /// Time until a job expires, after which it is of no use to its submitter, as a multiple of the time until its
 /// deadline.
 const EXPIRY_FACTOR: f64 = 3.0;
+/// Longest time that is distinguished. Estimates and policies may contain any number, and sums and multiples of times
+/// must not overflow.
+const MAX_TIME: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
 
 /// Expected run times and remaining times of a job.
 pub(crate) struct Urgency {
@@ -43,13 +46,14 @@
                 state
                     .run_times
                     .expected(&job.record.queue, step.estimate_ms)
+                    .min(MAX_TIME)
             })
             .collect();
         let successors_run_time = successor_chains(spec, &run_times);
         let chain = longest_chain(spec, &run_times, state, &policy.service);
         let objective =
-            chain.mul_f64(policy.stretch) + Duration::from_millis(policy.completion_slack_ms);
-        let expiry = objective.mul_f64(EXPIRY_FACTOR);
+            scaled(chain, policy.stretch) + Duration::from_millis(policy.completion_slack_ms);
+        let expiry = scaled(objective, EXPIRY_FACTOR).max(objective);
         let mut time_to_deadline = BTreeMap::new();
         let mut time_to_expiry = BTreeMap::new();
         let occurrences: Vec<Occurrence> = job.units.keys().map(|unit| unit.occurrence).collect();
@@ -92,7 +96,7 @@
         .map(|(step, run_time)| {
             let demand = step.allocated_resources();
             let parallel_tasks = state.task_capacity.count(&state.workers, service, demand);
-            run_time.mul_f64(waves(step.tasks, parallel_tasks))
+            scaled(*run_time, waves(step.tasks, parallel_tasks))
         })
         .collect();
     let successors_run_time = successor_chains(spec, &wave_times);
@@ -102,6 +106,12 @@
         .unwrap_or_default()
 }
 
+/// Returns a multiple of a time, at most [`MAX_TIME`].
+fn scaled(time: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(time.as_secs_f64() * factor)
+        .map_or(MAX_TIME, |time| time.min(MAX_TIME))
+}
+
 /// Returns the number of waves in which tasks run on a quarter of the capacity, where `parallel_tasks` fit on all
 /// workers at the same time.
 fn waves(tasks: u32, parallel_tasks: u64) -> f64 {
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -384,8 +384,12 @@
 
 /// Returns the expected work of the waiting tasks of a step, in core-seconds.
 fn work_core_s(step: &WaitingStep) -> f64 {
-    let cores = step.demand.milli_cores / 1000 + step.demand.accelerators * CORES_PER_ACCELERATOR;
+    let accelerator_cores = step
+        .demand
+        .accelerators
+        .saturating_mul(CORES_PER_ACCELERATOR);
+    let cores = accelerator_cores.saturating_add(step.demand.milli_cores / 1000);
     #[expect(clippy::cast_precision_loss, reason = "cores of a step")]
-    let cores = (cores * u64::from(step.count())) as f64;
+    let cores = cores as f64 * f64::from(step.count());
     cores * step.run_time.as_secs_f64()
 }
