Consider a bounded number of due occurrences of a job

What callers saw: one job whose 300,000 occurrences were due at once (an interval of 0) stopped the domain: no other job was completed, and memory grew with the number of occurrences, of which a job may have four billion.

Cause: the owner collected all due occurrences of a job before each decision.

Change: it considers the first 64 that are not finished. The later ones follow when these finish.

--- a/crates/assembly/tests/odd_entries.rs
+++ b/crates/assembly/tests/odd_entries.rs
@@ -204,6 +204,10 @@
     };
     job_that_is_never_due => |spec| spec.repeat = repeat(u64::MAX, u64::MAX, u32::MAX);
     job_with_the_longest_interval => |spec| spec.repeat = repeat(0, u64::MAX, u32::MAX);
+    job_with_many_due_occurrences => |spec| {
+        spec.repeat = repeat(0, 0, 300_000);
+        spec.steps[0].demand = Resources::new(u64::MAX, 1, 1);
+    };
     job_with_the_largest_limits => |spec| {
         spec.steps[0].latency_target_ms = Some(u64::MAX);
         spec.steps[0].max_tasks_per_worker = Some(u32::MAX);
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -31,6 +31,9 @@
 const CORES_PER_ACCELERATOR: u64 = 8;
 /// Margin after the due time of an occurrence, in milliseconds, for differences between clocks.
 const DUE_MARGIN_MS: u64 = 20;
+/// Maximum number of occurrences of one job that are considered at a time. Any number of them can be due when the
+/// interval is short or the job was due long ago.
+const MAX_DUE_OCCURRENCES: usize = 64;
 /// Run time that a stop loses although the task writes a checkpoint then.
 const CHECKPOINT_LOSS: Duration = Duration::from_millis(200);
 
@@ -211,6 +214,7 @@
     (first..repeat.count)
         .take_while(|occurrence| repeat.due_unix_ms(*occurrence) <= latest_due_ms)
         .filter(|occurrence| !job.progress.is_finished(*occurrence))
+        .take(MAX_DUE_OCCURRENCES)
         .collect()
 }
 
