--- /dev/null
+++ b/crates/assembly/tests/lapse.rs
@@ -0,0 +1,105 @@
+//! Tests of what the owner concludes from reports of a worker whose lease has lapsed.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::TestDomain;
+use common::gang;
+use common::run;
+use common::scripted_agent::ScriptedAgent;
+use common::scripted_agent::ended;
+use common::scripted_agent::first_run;
+use common::scripted_agent::idle_worker;
+
+use nutmegwalk_supervisor::WorkerStatus;
+use nutmegwalk_workload::EndKind;
+use nutmegwalk_workload::JobState;
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
+}
+
+/// The only task of job `a`.
+const TASK: &str = "a.0.0.0";
+
+/// Returns the status of a worker whose lease has lapsed and was not renewed since.
+fn lapsed_worker() -> WorkerStatus {
+    WorkerStatus {
+        has_lapsed: true,
+        lapsed_until_ms: Some(1_000),
+        ..idle_worker()
+    }
+}
+
+/// Starts a domain with `hosts` busy workers, and a scripted agent whose worker gets the only task of job `a`. The
+/// agent reports `lapsed` until it is ordered to start the task.
+async fn place_on_scripted_worker(
+    hosts: u32,
+    lapsed: &WorkerStatus,
+) -> (TestDomain, Rc<ScriptedAgent>, SocketAddr) {
+    let domain = TestDomain::start(hosts as usize).await;
+    domain.submit("normal", "busy", gang(hosts, 600_000)).await;
+    domain.wait_for_starts("busy.0.0.0", 1).await;
+    let owner = domain.owner_address().expect("domain has an owner");
+    let agent = ScriptedAgent::start().await;
+    agent.report(owner, lapsed.clone()).await;
+    domain.submit("normal", "a", gang(1, 1_000)).await;
+    while agent.ordered_runs(TASK).is_empty() {
+        agent.report(owner, lapsed.clone()).await;
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    (domain, agent, owner)
+}
+
+cases! {
+    // Guards against a second run beside one that began after the lapse that a report tells of.
+    run_that_began_after_a_lapse_outlives_a_repeated_report_of_it => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &lapsed_worker()).await;
+        agent.report(owner, lapsed_worker()).await;
+        let end = ended(first_run(TASK), EndKind::Done);
+        agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
+        domain
+            .wait_until_async("the job completes or its task is ordered again", async || {
+                agent.ordered_runs(TASK) != [1]
+                    || domain.state("normal", "a").await == Ok(JobState::Completed)
+            })
+            .await;
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
+
+    // Guards against a new owner that ends a run because of a lapse that the previous owner knew when it assigned it.
+    run_inherited_with_a_lapse_found_under_an_earlier_epoch_is_stopped_before_it_starts_again => {
+        let (domain, agent, owner) = place_on_scripted_worker(2, &lapsed_worker()).await;
+        domain.kill_agent(domain.owner().expect("domain has an owner"));
+        domain.wait_until("another agent takes over", || domain.owner_address() != Some(owner)).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        while agent.stops().is_empty() && agent.ordered_runs(TASK) == [1] {
+            // The agent has not seen the epoch of the new owner, which may still read the jobs.
+            let _ = agent.try_report(owner, lapsed_worker()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+        assert_eq!(agent.stops(), [first_run(TASK)]);
+        let end = ended(first_run(TASK), EndKind::Stopped);
+        agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
+        domain.cancel("normal", "busy").await;
+        domain.wait_until("the task is ordered again", || {
+            agent.ordered_runs(TASK) == [1, 2] || !domain.events.started_runs(TASK).is_empty()
+        }).await;
+    }
+
+    // Guards against a run that stays assigned for ever to a worker that never answers a restarted agent.
+    run_on_a_worker_that_does_not_answer_its_agent_starts_elsewhere => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        domain.cancel("normal", "busy").await;
+        let unanswered = WorkerStatus { answer_age_ms: None, ..idle_worker() };
+        while domain.events.started_runs(TASK).is_empty() {
+            agent.report(owner, unanswered.clone()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
+}
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -339,27 +339,45 @@
         state.mark_changed(id);
     }
 
-    /// Ends all runs on an incarnation of a worker that is guaranteed to be over.
-    pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, reason: &str) {
+    /// Ends all runs on an incarnation of a worker that is guaranteed to be over. `report` is the number of the
+    /// report that shows it.
+    pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, report: Option<u64>, reason: &str) {
+        self.end_runs_on(worker, |_| true, report, reason);
+        if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
+            && known.announcement.worker == *worker
+        {
+            known.unexpected_runs.clear();
+        }
+    }
+
+    /// Ends the runs on an incarnation of a worker for which `is_over` holds.
+    pub(crate) fn end_runs_on(
+        &self,
+        worker: &WorkerRef,
+        is_over: impl Fn(&Assignment) -> bool,
+        report: Option<u64>,
+        reason: &str,
+    ) {
         let mut lost = Vec::new();
         for (unit, run, assignment) in self.state.borrow().assignments_on(worker) {
-            if assignment.state != AssignmentState::Ended {
+            if assignment.state != AssignmentState::Ended && is_over(assignment) {
                 let task = unit.task_id(assignment.index);
                 let ended = TaskRun { task, run: run.run };
                 lost.push((ended, assignment.checkpoint.clone()));
             }
         }
         if !lost.is_empty() {
-            warn!(target: event::RUNS_LOST, worker = &*worker.id, born_unix_ms = worker.born_unix_ms, runs = lost.len(); "runs lost: {reason}");
+            warn!(target: event::RUNS_LOST,
+                worker = &*worker.id,
+                born_unix_ms = worker.born_unix_ms,
+                report:? = report,
+                runs = lost.len();
+                "runs lost: {reason}"
+            );
         }
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
         }
-        if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
-            && known.announcement.worker == *worker
-        {
-            known.unexpected_runs.clear();
-        }
     }
 }
 
@@ -385,6 +403,13 @@
             })
     }
 
+    /// Returns the assignment of the task of a run.
+    pub(crate) fn assignment_mut(&mut self, run: &TaskRun) -> Option<&mut Assignment> {
+        let job = self.jobs.get_mut(&run.task.job)?;
+        let unit = job.record.spec.unit_of(&run.task)?;
+        job.assignment_mut(&unit, run.run, run.task.index)
+    }
+
     /// Marks the progress of a job as changed and returns the new revision.
     pub(crate) fn mark_changed(&mut self, id: &JobId) -> u64 {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -21,6 +21,7 @@
 use crate::supervisor::with_timeout;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
+use nutmegwalk_base::Outcome;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
@@ -89,15 +90,21 @@
     /// Starts one task; repeats the request while the worker does not answer.
     async fn start(&self, orders: &Orders, order: &StartOrder, index: u32) -> StartResult {
         let run = order.task_run(index);
+        if self.is_running(&orders.worker, &run) {
+            // The order is a repetition; the answer to the earlier one was lost.
+            return StartResult {
+                run,
+                outcome: TaskOutcome::Done,
+            };
+        }
         let mut outcome = TaskOutcome::Unknown;
-        for attempt in 0..MAX_ORDER_TRIES {
+        // Whether an unanswered request may still start the run.
+        let mut may_start = false;
+        for _ in 0..MAX_ORDER_TRIES {
             let request = match self.start_request(orders, order, &run) {
                 Ok(request) => request,
                 Err(refusal) => {
-                    // After an unanswered request the run may still start.
-                    if attempt == 0 || refusal == Refusal::OtherWorker {
-                        outcome = TaskOutcome::Refused(refusal);
-                    }
+                    outcome = refused(refusal, may_start);
                     break;
                 }
             };
@@ -111,11 +118,12 @@
                             self.record_start(&orders.worker, &run, answer.clock_ms);
                             TaskOutcome::Done
                         }
-                        Some(refusal) => TaskOutcome::Refused(refusal),
+                        Some(refusal) => refused(refusal, may_start),
                     };
                     break;
                 }
                 Err(error) => {
+                    may_start |= error.outcome() != Outcome::NotRun;
                     warn!(target: event::WORKER_UNANSWERED, task:% = run.task, run = run.run; "no answer to a start: {error}");
                 }
             }
@@ -131,6 +139,19 @@
         StartResult { run, outcome }
     }
 
+    /// Returns whether the worker listed the run as running, or has started it since, and its lease has not lapsed.
+    fn is_running(&self, addressed: &WorkerRef, run: &TaskRun) -> bool {
+        let state = self.state.borrow();
+        let worker = state.worker.as_ref();
+        worker.is_some_and(|worker| {
+            worker.worker() == addressed
+                && worker.running.iter().any(|task| task.run == *run)
+                && worker
+                    .clock
+                    .is_some_and(|clock| !clock.has_lapsed(clock::now()))
+        })
+    }
+
     /// Builds the request, or returns the refusal if the state of the agent already rules out the start.
     fn start_request(
         &self,
@@ -157,6 +178,9 @@
         if !is_valid {
             return Err(Refusal::Expired);
         }
+        if order.known_lapse_ms < worker.lapsed_until_ms {
+            return Err(Refusal::LeasePassed);
+        }
         let Some(lease_until_clock_ms) = state.lease_until_ms(worker, &self.timings) else {
             return Err(Refusal::LeasePassed);
         };
@@ -261,3 +285,14 @@
         }
     }
 }
+
+/// Returns the outcome of a start that was refused at last. `may_start` tells whether an earlier try may still take
+/// effect.
+fn refused(refusal: Refusal, may_start: bool) -> TaskOutcome {
+    // A worker that has been replaced starts nothing any more.
+    if may_start && refusal != Refusal::OtherWorker {
+        TaskOutcome::Unknown
+    } else {
+        TaskOutcome::Refused(refusal)
+    }
+}
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -11,6 +11,7 @@
 use crate::Announcement;
 use crate::EndedTask;
 use crate::LeaseClock;
+use crate::LeaseRenewal;
 use crate::OwnerClock;
 use crate::PollAnswer;
 use crate::PollRequest;
@@ -78,7 +79,6 @@
     report_needed: Signal,
     /// Raised when the worker should be polled immediately.
     poll_requested: Signal,
-    started_at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -108,6 +108,9 @@
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
     pub(crate) ended: Vec<EndedTask>,
+    /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds. No start that was
+    /// assigned before the owner knew of this lapse may be sent to the worker.
+    pub(crate) lapsed_until_ms: Option<u64>,
     /// Runs that were started, with the worker's clock at that time. A list that the worker made earlier
     /// does not contain them.
     pub(crate) recent_starts: Vec<(TaskRun, u64)>,
@@ -124,6 +127,7 @@
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            lapsed_until_ms: None,
             recent_starts: Vec::new(),
         }
     }
@@ -138,6 +142,26 @@
             || self.ended.iter().any(|end| end.run == *run)
     }
 
+    /// Records the lapse of the lease, if it has lapsed at `now`.
+    fn record_lapse(&mut self, now: Instant) {
+        let Some(clock) = self.clock.filter(|clock| clock.has_lapsed(now)) else {
+            return;
+        };
+        let lapsed_until_ms = Some(clock.lease_until_clock_ms());
+        // The end of the lease goes back when a renewal turns out not to have been sent; a lapse that was reported
+        // stays.
+        if self.lapsed_until_ms < lapsed_until_ms {
+            self.lapsed_until_ms = lapsed_until_ms;
+            info!(target: event::WORKER_LAPSED,
+                worker = &*self.worker().id,
+                lease_until_ms = clock.lease_until_clock_ms(),
+                answer_age_ms = as_ms(clock.time_since_answer(now)),
+                running = self.running.len();
+                ""
+            );
+        }
+    }
+
     /// Drops the ends that the owner has stored, up to `number`; returns whether `number` is new.
     pub(crate) fn acknowledge(&mut self, number: u64) -> bool {
         if number <= self.acknowledged {
@@ -182,8 +206,7 @@
 /// A renewal of the lease in flight.
 pub(crate) struct Renewal {
     worker: WorkerRef,
-    until_ms: u64,
-    previous_until_ms: u64,
+    renewal: LeaseRenewal,
 }
 
 impl Supervisor {
@@ -197,7 +220,6 @@
                 state: RefCell::new(State::default()),
                 report_needed: Signal::new(),
                 poll_requested: Signal::new(),
-                started_at: clock::now(),
             }),
         }
     }
@@ -256,20 +278,16 @@
     #[must_use]
     pub fn status(&self) -> Option<WorkerStatus> {
         let now = clock::now();
-        let state = self.inner.state.borrow();
-        let worker = state.worker.as_ref()?;
+        let mut state = self.inner.state.borrow_mut();
+        let worker = state.worker.as_mut()?;
+        worker.record_lapse(now);
         let since = |instant: Instant| as_ms(now.saturating_duration_since(instant));
         Some(WorkerStatus {
             announcement: worker.announcement.clone(),
             heartbeat_age_ms: since(worker.heartbeat_at),
             answer_age_ms: worker.answered_at.map(since),
-            has_lapsed: match &worker.clock {
-                Some(clock) => clock.has_lapsed(now),
-                None => {
-                    now.saturating_duration_since(self.inner.started_at)
-                        > self.inner.timings.max_lease * 2
-                }
-            },
+            lapsed_until_ms: worker.lapsed_until_ms,
+            has_lapsed: worker.clock.is_some_and(|clock| clock.has_lapsed(now)),
             running: worker.running.clone(),
             ended: worker.ended.clone(),
         })
@@ -310,6 +328,15 @@
         if is_new_epoch || is_renewable_again || is_acknowledged {
             self.inner.poll_requested.raise();
         }
+        let has_lapsed = state
+            .worker
+            .as_ref()
+            .and_then(|worker| worker.clock)
+            .is_some_and(|clock| clock.has_lapsed(now));
+        if is_new_epoch && has_lapsed {
+            // A new owner relies on a lapse only if it was found under its epoch.
+            self.inner.report_needed.raise();
+        }
     }
 
     /// Waits until a report should be sent to the owner immediately.
@@ -403,11 +430,9 @@
         if worker.worker() != addressed {
             return None;
         }
-        let previous_until_ms = worker.clock.as_mut()?.begin_renewal(until_ms);
         Some(Renewal {
             worker: addressed.clone(),
-            until_ms,
-            previous_until_ms,
+            renewal: worker.clock.as_mut()?.begin_renewal(until_ms),
         })
     }
 
@@ -419,7 +444,7 @@
             && *worker.worker() == renewal.worker
             && let Some(clock) = &mut worker.clock
         {
-            clock.cancel_renewal(renewal.until_ms, renewal.previous_until_ms);
+            clock.cancel_renewal(renewal.renewal);
         }
     }
 
