Do not let an announced incarnation replace one that still answers

What callers saw: one heartbeat with the address of the worker, another id and a start far in the future ended the runs of the worker at the owner, which started them elsewhere while they went on, and shut the worker's own heartbeats out until the agent was restarted.

Cause: a heartbeat alone counted as proof that the earlier incarnation is over, and an incarnation with an earlier start was never accepted again.

Change: the owner ends the runs of an earlier incarnation only when the later one has answered its agent, which names the incarnation in each poll. An agent whose poll was answered by another incarnation accepts any other incarnation that announces itself.

--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -41,6 +41,8 @@
 use nutmegwalk_policy::OperatorRows;
 use nutmegwalk_policy::Subject;
 use nutmegwalk_store::Transaction;
+use nutmegwalk_supervisor::Announcement;
+use nutmegwalk_supervisor::Supervisor;
 use nutmegwalk_supervisor::SupervisorTimings;
 use nutmegwalk_workload::AdvicePolicy;
 use nutmegwalk_workload::CustomerPolicy;
@@ -134,6 +136,7 @@
 pub(crate) struct Host {
     pub(crate) worker: Rc<EmulatedWorker>,
     name: Box<str>,
+    supervisor: RefCell<Option<Supervisor>>,
     process: RefCell<Option<(JoinHandle<()>, Drain, EmulatedStore)>>,
     heartbeats: RefCell<Option<JoinHandle<()>>>,
 }
@@ -165,6 +168,7 @@
                     gangs.clone(),
                 ),
                 name: format!("agent-{number}").into(),
+                supervisor: RefCell::new(None),
                 process: RefCell::new(None),
                 heartbeats: RefCell::new(None),
             })
@@ -198,6 +202,7 @@
             .await
             .expect("a free port");
         let supervisor = agent.supervisor();
+        *host.supervisor.borrow_mut() = Some(supervisor.clone());
         let worker = Rc::clone(&host.worker);
         let heartbeats = compio::runtime::spawn(async move {
             loop {
@@ -214,6 +219,13 @@
         *host.process.borrow_mut() = Some((task, stop, store));
     }
 
+    /// Delivers a heartbeat that the worker of a host did not send; returns whether it was accepted.
+    pub(crate) fn deliver_heartbeat(&self, host: usize, announcement: Announcement) -> bool {
+        let supervisor = self.hosts[host].supervisor.borrow();
+        let supervisor = supervisor.as_ref().expect("an agent");
+        supervisor.record_heartbeat(announcement)
+    }
+
     /// Stops the agent of a host without a graceful shutdown, like SIGKILL.
     pub(crate) fn kill_agent(&self, host: usize) {
         self.hosts[host].heartbeats.borrow_mut().take();
--- a/crates/assembly/tests/odd_entries.rs
+++ b/crates/assembly/tests/odd_entries.rs
@@ -175,6 +175,24 @@
     }
 }
 
+cases! {
+    // Guards against a heartbeat of another writer that ends the runs of the worker and shuts it out.
+    heartbeat_of_a_later_incarnation_that_does_not_exist_has_no_effect => {
+        let domain = TestDomain::start(2).await;
+        domain.submit("normal", "a", job(1, 4_000)).await;
+        domain.wait_for_starts("a.0.0.0", 1).await;
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let host = domain.host_of("a.0.0.0");
+        let mut odd = domain.hosts[host].worker.announcement().expect("a worker");
+        odd.worker.id = "i-odd".into();
+        odd.worker.born_unix_ms = u64::MAX;
+        domain.deliver_heartbeat(host, odd);
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        assert_eq!(domain.events.started_runs("a.0.0.0").len(), 1);
+        domain.assert_no_violations();
+    }
+}
+
 // Guards against an owner that ends its planning again and again because of one job with large numbers.
 job_cases! {
     job_with_the_longest_estimate => |spec| spec.steps[0].estimate_ms = u64::MAX;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -53,7 +53,8 @@
         if let Some(reported) = self.record_agent(report, now)
             && let Some(status) = &report.worker
         {
-            if reported == ReportedWorker::Other {
+            // A heartbeat alone does not prove that the incarnation exists.
+            if reported == ReportedWorker::Other && status.answer_age_ms.is_some() {
                 self.end_superseded_workers(report, &status.announcement.worker);
             }
             self.record_worker(report, status, now);
@@ -76,7 +77,11 @@
             return None;
         }
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
-        let worker = announcement.map(|announcement| announcement.worker.clone());
+        let worker = report
+            .worker
+            .as_ref()
+            .filter(|status| status.answer_age_ms.is_some())
+            .map(|status| status.announcement.worker.clone());
         let reported = if known.is_some_and(|known| known.worker == worker) {
             ReportedWorker::Same
         } else {
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -28,7 +28,7 @@
     /// Whether the agent can take over the ownership.
     pub(crate) is_eligible: bool,
     pub(crate) data_centre: Option<Box<str>>,
-    /// Worker in its last report.
+    /// Worker in its last report, if that worker has answered the agent.
     pub(crate) worker: Option<WorkerRef>,
     pub(crate) last_report_at: Instant,
 }
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -104,6 +104,9 @@
     /// Whether the last poll was not answered. Until the next answer, polls do not renew the lease, so that
     /// it lapses early if the worker has crashed.
     is_unanswered: bool,
+    /// Whether another incarnation answered the last poll. Any other incarnation that announces itself replaces this
+    /// one then, also an earlier one: this one may never have existed.
+    is_disowned: bool,
     /// Number up to which the owner has stored the ends.
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
@@ -124,6 +127,7 @@
             clock: None,
             answered_at: None,
             is_unanswered: false,
+            is_disowned: false,
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
@@ -244,7 +248,8 @@
                 }
                 return true;
             }
-            if announcement.worker.born_unix_ms < known.worker.born_unix_ms {
+            if announcement.worker.born_unix_ms < known.worker.born_unix_ms && !current.is_disowned
+            {
                 return false;
             }
         }
@@ -415,7 +420,14 @@
         if answer.is_err() {
             self.record_unanswered(&request.worker);
         }
-        self.apply_poll_answer(&request.worker, answer?)
+        let result = answer.and_then(|answer| self.apply_poll_answer(&request.worker, answer));
+        if result
+            .as_ref()
+            .is_err_and(|error| error.kind == ErrorKind::NotFound)
+        {
+            self.record_disowned(&request.worker);
+        }
+        result
     }
 
     /// Records that a request that renews the lease is being sent. The worker may receive it from now on.
@@ -456,6 +468,14 @@
         }
     }
 
+    fn record_disowned(&self, addressed: &WorkerRef) {
+        if let Some(worker) = &mut self.state.borrow_mut().worker
+            && worker.worker() == addressed
+        {
+            worker.is_disowned = true;
+        }
+    }
+
     fn apply_poll_answer(&self, addressed: &WorkerRef, answer: PollAnswer) -> Result<()> {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
@@ -486,6 +506,7 @@
             .observe(answer.clock_ms, now);
         worker.answered_at = Some(now);
         worker.is_unanswered = false;
+        worker.is_disowned = false;
         if worker.apply_list(answer) || is_first {
             self.notify_owner();
         }
