Accept heartbeats again after one with a wrong number

What callers saw: after one heartbeat with the highest sequence number all later ones of the worker were ignored for as long as it ran. Its capacity and its announcement that it drains were not seen.

Cause: a heartbeat counted as late when its number was not higher than that of the last one.

Change: three heartbeats in order without an accepted one between them are taken as the worker's, which takes three beats. Single late heartbeats are ignored as before.

--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -30,6 +30,10 @@
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_workload::WorkerRef;
 
+/// Number of late heartbeats in order, with none accepted between them, after which the last accepted one counts as
+/// wrongly numbered. Fewer may be repetitions that were delayed.
+const MAX_LATE_HEARTBEATS: u32 = 3;
+
 /// Timeouts and intervals of the supervision.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SupervisorTimings {
@@ -99,6 +103,7 @@
 pub(crate) struct SupervisedWorker {
     pub(crate) announcement: Announcement,
     pub(crate) heartbeat_at: Instant,
+    late_heartbeats: LateHeartbeats,
     pub(crate) clock: Option<LeaseClock>,
     pub(crate) answered_at: Option<Instant>,
     /// Whether the last poll was not answered. Until the next answer, polls do not renew the lease, so that
@@ -119,11 +124,34 @@
     pub(crate) recent_starts: Vec<(TaskRun, u64)>,
 }
 
+/// Late heartbeats since the last accepted one.
+#[derive(Debug, Default)]
+struct LateHeartbeats {
+    last_sequence: u64,
+    /// Number of heartbeats with increasing numbers.
+    count: u32,
+}
+
+impl LateHeartbeats {
+    /// Records a late heartbeat; returns whether there are enough of them to accept it.
+    fn record(&mut self, sequence: u64) -> bool {
+        if sequence < self.last_sequence {
+            self.count = 0;
+        }
+        if sequence > self.last_sequence || self.count == 0 {
+            self.count += 1;
+        }
+        self.last_sequence = sequence;
+        self.count >= MAX_LATE_HEARTBEATS
+    }
+}
+
 impl SupervisedWorker {
     fn new(announcement: Announcement, heartbeat_at: Instant) -> Self {
         Self {
             announcement,
             heartbeat_at,
+            late_heartbeats: LateHeartbeats::default(),
             clock: None,
             answered_at: None,
             is_unanswered: false,
@@ -235,9 +263,12 @@
         if let Some(current) = &mut state.worker {
             let known = &current.announcement;
             if announcement.worker == known.worker {
-                if announcement.sequence <= known.sequence {
+                if announcement.sequence <= known.sequence
+                    && !current.late_heartbeats.record(announcement.sequence)
+                {
                     return false;
                 }
+                current.late_heartbeats = LateHeartbeats::default();
                 let has_changed = announcement.state != known.state
                     || announcement.labels != known.labels
                     || announcement.capacity != known.capacity;
