Read the list of a worker entry by entry

What callers saw: one odd entry in the list of runs of a worker (a missing field, another type, a number too large, deep nesting) made the whole list unreadable for as long as it was there. The agent no longer renewed the lease, and all tasks of the worker were killed. An entry with a task id that does not parse was left out silently: an end of that kind made the agent poll without a pause (925 requests in one second), and a running task counted as absent while it ran. A clock of 2^64-1 made all later answers of the worker appear old.

Cause: the list was decoded as a whole, and an entry that was dropped left no trace.

The answer says whether entries were left out. A run that such a list does not name is stopped by name, as before, but counts as absent only after the time that a stop takes. Ends from the first unreadable one on are not acknowledged, so that the worker keeps them, and polls pause.

--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -431,6 +431,7 @@
                 .map(Running::to_running_task)
                 .collect(),
             ended: incarnation.ended.clone(),
+            ..PollAnswer::default()
         }
     }
 }
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -32,6 +32,8 @@
 const MAX_ORDER_TRIES: u32 = 4;
 /// Timeout of one try of an order; the worker is on the same host.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after an accepted stop within which the run ends; the platform allows 200 ms.
+const MAX_STOP_TIME: Duration = Duration::from_millis(300);
 
 impl Supervisor {
     /// Executes orders and returns the result of each start and stop.
@@ -259,6 +261,15 @@
         }
     }
 
+    /// Returns whether the run is not listed, in a list from which entries were left out.
+    fn may_be_unreadable(&self, run: &TaskRun) -> bool {
+        let state = self.state.borrow();
+        state
+            .worker
+            .as_ref()
+            .is_some_and(|worker| worker.is_incomplete && !worker.has_run(run))
+    }
+
     /// Polls the worker after it has accepted a stop. The outcome is `Done` if the run is among the ends, or is
     /// still running and ends soon, and `Absent` if the worker does not have it.
     async fn outcome_of_stop(&self, addressed: &WorkerRef, run: &TaskRun) -> TaskOutcome {
@@ -275,6 +286,10 @@
             warn!(target: event::WORKER_SILENT, task:% = run.task, run = run.run; "cannot poll the worker after a stop: {error}");
             return TaskOutcome::Unknown;
         }
+        if self.may_be_unreadable(run) {
+            // The run may be listed in an entry that cannot be read, until its stop has taken effect.
+            compio::time::sleep(MAX_STOP_TIME).await;
+        }
         let state = self.state.borrow();
         match &state.worker {
             Some(worker) if worker.worker() == addressed && !worker.has_run(run) => {
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -116,6 +116,10 @@
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
     pub(crate) ended: Vec<EndedTask>,
+    /// Whether the worker's last list had entries that cannot be read.
+    pub(crate) is_incomplete: bool,
+    /// Number up to which the worker may drop ends at most; `None` for no limit.
+    acknowledge_limit: Option<u64>,
     /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds. No start that was
     /// assigned before the owner knew of this lapse may be sent to the worker.
     pub(crate) lapsed_until_ms: Option<u64>,
@@ -159,6 +163,8 @@
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            is_incomplete: false,
+            acknowledge_limit: None,
             lapsed_until_ms: None,
             recent_starts: Vec::new(),
         }
@@ -231,6 +237,8 @@
                 .any(|task| !self.running.iter().any(|known| known.run == task.run));
         self.running = running;
         self.ended = ended;
+        self.is_incomplete = answer.is_incomplete;
+        self.acknowledge_limit = answer.acknowledge_limit;
         has_changed
     }
 }
@@ -427,7 +435,8 @@
         if state.epoch <= state.refused_epoch {
             return None;
         }
-        let is_unacknowledged = !worker.ended.is_empty();
+        // A worker that lists an end answers at once, also when the end cannot be read.
+        let is_unacknowledged = !worker.ended.is_empty() || worker.is_incomplete;
         let is_first = worker.answered_at.is_none();
         let wait = if is_unacknowledged || is_first || worker.is_unanswered {
             Duration::ZERO
@@ -556,7 +565,9 @@
         PollRequest {
             worker: worker.worker().clone(),
             epoch: self.epoch,
-            acknowledged: worker.acknowledged,
+            acknowledged: worker
+                .acknowledge_limit
+                .map_or(worker.acknowledged, |limit| limit.min(worker.acknowledged)),
             lease_until_clock_ms: (!worker.is_unanswered)
                 .then(|| self.lease_until_ms(worker, timings))
                 .flatten(),
--- a/crates/supervisor/src/worker.rs
+++ b/crates/supervisor/src/worker.rs
@@ -191,6 +191,11 @@
     pub running: Vec<RunningTask>,
     /// Ends that were not dropped, oldest first; a long list is split over several answers.
     pub ended: Vec<EndedTask>,
+    /// Whether entries were left out because they cannot be read. A run that is not listed may be one of them.
+    pub is_incomplete: bool,
+    /// Number of the last end before the first one that cannot be read. That one must not be dropped, because its
+    /// effect is unknown. `None` if all ends can be read.
+    pub acknowledge_limit: Option<u64>,
 }
 
 /// Commands of an agent to its worker.
