--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -30,6 +30,10 @@
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_workload::WorkerRef;
 
+/// Number of late heartbeats in order, with none accepted between them, after which the last accepted one counts as
+/// wrongly numbered. Fewer may be repetitions that were delayed.
+const MAX_LATE_HEARTBEATS: u32 = 3;
+
 /// Timeouts and intervals of the supervision.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SupervisorTimings {
@@ -99,15 +103,23 @@
 pub(crate) struct SupervisedWorker {
     pub(crate) announcement: Announcement,
     pub(crate) heartbeat_at: Instant,
+    late_heartbeats: LateHeartbeats,
     pub(crate) clock: Option<LeaseClock>,
     pub(crate) answered_at: Option<Instant>,
     /// Whether the last poll was not answered. Until the next answer, polls do not renew the lease, so that
     /// it lapses early if the worker has crashed.
     is_unanswered: bool,
+    /// Whether another incarnation answered the last poll. Any other incarnation that announces itself replaces this
+    /// one then, also an earlier one: this one may never have existed.
+    is_disowned: bool,
     /// Number up to which the owner has stored the ends.
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
     pub(crate) ended: Vec<EndedTask>,
+    /// Whether the worker's last list had entries that cannot be read.
+    pub(crate) is_incomplete: bool,
+    /// Number up to which the worker may drop ends at most; `None` for no limit.
+    acknowledge_limit: Option<u64>,
     /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds. No start that was
     /// assigned before the owner knew of this lapse may be sent to the worker.
     pub(crate) lapsed_until_ms: Option<u64>,
@@ -116,17 +128,43 @@
     pub(crate) recent_starts: Vec<(TaskRun, u64)>,
 }
 
+/// Late heartbeats since the last accepted one.
+#[derive(Debug, Default)]
+struct LateHeartbeats {
+    last_sequence: u64,
+    /// Number of heartbeats with increasing numbers.
+    count: u32,
+}
+
+impl LateHeartbeats {
+    /// Records a late heartbeat; returns whether there are enough of them to accept it.
+    fn record(&mut self, sequence: u64) -> bool {
+        if sequence < self.last_sequence {
+            self.count = 0;
+        }
+        if sequence > self.last_sequence || self.count == 0 {
+            self.count += 1;
+        }
+        self.last_sequence = sequence;
+        self.count >= MAX_LATE_HEARTBEATS
+    }
+}
+
 impl SupervisedWorker {
     fn new(announcement: Announcement, heartbeat_at: Instant) -> Self {
         Self {
             announcement,
             heartbeat_at,
+            late_heartbeats: LateHeartbeats::default(),
             clock: None,
             answered_at: None,
             is_unanswered: false,
+            is_disowned: false,
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            is_incomplete: false,
+            acknowledge_limit: None,
             lapsed_until_ms: None,
             recent_starts: Vec::new(),
         }
@@ -199,6 +237,8 @@
                 .any(|task| !self.running.iter().any(|known| known.run == task.run));
         self.running = running;
         self.ended = ended;
+        self.is_incomplete = answer.is_incomplete;
+        self.acknowledge_limit = answer.acknowledge_limit;
         has_changed
     }
 }
@@ -231,9 +271,12 @@
         if let Some(current) = &mut state.worker {
             let known = &current.announcement;
             if announcement.worker == known.worker {
-                if announcement.sequence <= known.sequence {
+                if announcement.sequence <= known.sequence
+                    && !current.late_heartbeats.record(announcement.sequence)
+                {
                     return false;
                 }
+                current.late_heartbeats = LateHeartbeats::default();
                 let has_changed = announcement.state != known.state
                     || announcement.labels != known.labels
                     || announcement.capacity != known.capacity;
@@ -244,7 +287,8 @@
                 }
                 return true;
             }
-            if announcement.worker.born_unix_ms < known.worker.born_unix_ms {
+            if announcement.worker.born_unix_ms < known.worker.born_unix_ms && !current.is_disowned
+            {
                 return false;
             }
         }
@@ -391,7 +435,8 @@
         if state.epoch <= state.refused_epoch {
             return None;
         }
-        let is_unacknowledged = !worker.ended.is_empty();
+        // A worker that lists an end answers at once, also when the end cannot be read.
+        let is_unacknowledged = !worker.ended.is_empty() || worker.is_incomplete;
         let is_first = worker.answered_at.is_none();
         let wait = if is_unacknowledged || is_first || worker.is_unanswered {
             Duration::ZERO
@@ -415,7 +460,14 @@
         if answer.is_err() {
             self.record_unanswered(&request.worker);
         }
-        self.apply_poll_answer(&request.worker, answer?)
+        let result = answer.and_then(|answer| self.apply_poll_answer(&request.worker, answer));
+        if result
+            .as_ref()
+            .is_err_and(|error| error.kind == ErrorKind::NotFound)
+        {
+            self.record_disowned(&request.worker);
+        }
+        result
     }
 
     /// Records that a request that renews the lease is being sent. The worker may receive it from now on.
@@ -456,6 +508,14 @@
         }
     }
 
+    fn record_disowned(&self, addressed: &WorkerRef) {
+        if let Some(worker) = &mut self.state.borrow_mut().worker
+            && worker.worker() == addressed
+        {
+            worker.is_disowned = true;
+        }
+    }
+
     fn apply_poll_answer(&self, addressed: &WorkerRef, answer: PollAnswer) -> Result<()> {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
@@ -486,6 +546,7 @@
             .observe(answer.clock_ms, now);
         worker.answered_at = Some(now);
         worker.is_unanswered = false;
+        worker.is_disowned = false;
         if worker.apply_list(answer) || is_first {
             self.notify_owner();
         }
@@ -504,7 +565,9 @@
         PollRequest {
             worker: worker.worker().clone(),
             epoch: self.epoch,
-            acknowledged: worker.acknowledged,
+            acknowledged: worker
+                .acknowledge_limit
+                .map_or(worker.acknowledged, |limit| limit.min(worker.acknowledged)),
             lease_until_clock_ms: (!worker.is_unanswered)
                 .then(|| self.lease_until_ms(worker, timings))
                 .flatten(),
