Show that a late report of an ended agent process ends a newer run

What callers could see: a task runs twice at once (TWICE), on a worker whose agent was restarted.

Cause: the owner accepts any report of another incarnation of an agent as the newest, also one of a process that has ended, which a network delivers after a cut. A lapse that it tells of is applied to runs that were begun under the next process.

No change of the product.

--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_net::Client;
@@ -36,6 +37,10 @@
 use nutmegwalk_workload::WorkerRef;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Incarnation of the agent.
+const INCARNATION: Incarnation = 1;
+/// Incarnation of the agent's process before.
+const ENDED_INCARNATION: Incarnation = 2;
 
 /// An agent without a supervisor.
 pub(crate) struct ScriptedAgent {
@@ -98,10 +103,27 @@
         worker: WorkerStatus,
     ) -> Result<ReportAnswer> {
         self.sequence.set(self.sequence.get() + 1);
+        self.send_report(owner, INCARNATION, self.sequence.get(), worker)
+            .await
+    }
+
+    /// Sends a report of an earlier process of the agent, which arrives late.
+    pub(crate) async fn report_of_ended_process(&self, owner: SocketAddr, worker: WorkerStatus) {
+        let answer = self.send_report(owner, ENDED_INCARNATION, 1, worker).await;
+        answer.expect("the owner answers");
+    }
+
+    async fn send_report(
+        &self,
+        owner: SocketAddr,
+        incarnation: Incarnation,
+        sequence: u64,
+        worker: WorkerStatus,
+    ) -> Result<ReportAnswer> {
         let report = Report {
             agent: "scripted".into(),
-            incarnation: 1,
-            sequence: self.sequence.get(),
+            incarnation,
+            sequence,
             address: self.address,
             epoch: self.epoch.get(),
             is_eligible: false,
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -102,4 +102,19 @@
         }
         assert_eq!(agent.ordered_runs(TASK), [1]);
     }
+
+    // Guards against a lapse reported by an ended process of the agent that ends a run begun under its successor.
+    run_outlives_a_late_report_of_a_lapse_by_an_ended_process_of_its_agent => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        agent.report_of_ended_process(owner, lapsed_worker()).await;
+        let end = ended(first_run(TASK), EndKind::Done);
+        agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
+        domain
+            .wait_until_async("the job completes or its task is ordered again", async || {
+                agent.ordered_runs(TASK) != [1]
+                    || domain.state("normal", "a").await == Ok(JobState::Completed)
+            })
+            .await;
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
 }
