Show that a run listed by a reborn worker is started a second time

What callers could see: a task runs twice at once (TWICE), after a worker was started again under its id.

Cause: an order names an incarnation, but a worker can be addressed by its id alone, so that a start for the incarnation before takes effect on the next one while the agent has no heartbeat of that one yet. The first report of the next incarnation ends all runs of the one before, although the same report lists the run.

No change of the product.

--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use common::TestDomain;
 use common::gang;
@@ -13,6 +14,7 @@
 use common::scripted_agent::ended;
 use common::scripted_agent::first_run;
 use common::scripted_agent::idle_worker;
+use common::scripted_agent::running;
 
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::EndKind;
@@ -117,4 +119,19 @@
             .await;
         assert_eq!(agent.ordered_runs(TASK), [1]);
     }
+
+    // Guards against a second run beside one that the worker's next incarnation, under the same id, has started.
+    run_listed_by_a_reborn_worker_does_not_start_again_while_it_is_listed => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        domain.cancel("normal", "busy").await;
+        let mut reborn = WorkerStatus { running: vec![running(first_run(TASK))], ..idle_worker() };
+        reborn.announcement.worker.born_unix_ms += 1;
+        let listed_until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < listed_until {
+            agent.report(owner, reborn.clone()).await;
+            assert_eq!(agent.ordered_runs(TASK), [1]);
+            assert_eq!(domain.events.started_runs(TASK), []);
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
 }
