Show that an accepted stop gives the room of an unexpected run away

What callers could see: a worker gets more than its room (LIMIT), and a task runs beside its earlier run (TWICE).

Cause: the owner drops an unexpected run when the agent answers its stop with done, which is also the answer for a run that still runs and ends soon. Until the next report lists it again, the planner takes its room for free. Class: the acceptance of a stop taken for the end.

No change of the product.

--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -134,4 +134,18 @@
             compio::time::sleep(Duration::from_millis(50)).await;
         }
     }
+
+    // Guards against giving the room of an unexpected run away while its stop is accepted and its end not listed yet.
+    unexpected_run_that_is_being_stopped_keeps_its_room => {
+        let (_domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        let mut reborn = WorkerStatus { running: vec![running(first_run(TASK))], ..idle_worker() };
+        reborn.announcement.worker.born_unix_ms += 1;
+        let listed_until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < listed_until {
+            agent.report(owner, reborn.clone()).await;
+            assert_eq!(agent.ordered_runs(TASK), [1]);
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.stops().first(), Some(&first_run(TASK)));
+    }
 }
