Show that a run is taken for absent although the list of ends may be cut

What callers could see: a task runs again after it was done (TWICE), on a worker with more than 500 ends that are not acknowledged.

Cause: a worker lists 500 ends at once. After a stop, the agent concludes from a full list without the run that the worker never had it, and the owner records it as lost.

No change of the product.

--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::clock;
+use nutmegwalk_supervisor::EndedTask;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::PollAnswer;
 use nutmegwalk_supervisor::PollRequest;
@@ -29,6 +31,7 @@
 use nutmegwalk_supervisor::TaskOutcome;
 use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_supervisor::WorkerPort;
+use nutmegwalk_workload::EndKind;
 use nutmegwalk_workload::WorkerRef;
 
 macro_rules! cases {
@@ -44,6 +47,9 @@
 /// The owner's clock at its last answer, in milliseconds.
 const OWNER_CLOCK_MS: u64 = 10_000;
 
+/// Number of ends that a worker lists at once; the later ones follow when these are acknowledged.
+const MAX_LISTED_ENDS: u64 = 500;
+
 /// Lease of the worker in the tests of lapses.
 const SHORT_LEASE: Duration = Duration::from_millis(100);
 
@@ -54,6 +60,8 @@
     /// Number of starts that are not answered; later ones are refused.
     refuses_after: Cell<Option<u32>>,
     refuses_polls: Cell<bool>,
+    /// Ends that each poll lists.
+    ended: RefCell<Vec<EndedTask>>,
     starts: Cell<u32>,
 }
 
@@ -93,6 +101,7 @@
     fn poll<'a>(&'a self, request: &'a PollRequest) -> LocalBoxFuture<'a, Result<PollAnswer>> {
         let answer = PollAnswer {
             clock_ms: 1_000,
+            ended: self.ended.borrow().clone(),
             ..PollAnswer::default()
         };
         async move {
@@ -258,4 +267,22 @@
         assert_eq!(start_outcome(&supervisor, OWNER_CLOCK_MS).await, TaskOutcome::Done);
         assert_eq!(port.starts.get(), 1);
     }
+
+    // Guards against taking a run for absent whose end is behind those that the worker lists at once.
+    run_to_stop_is_not_absent_if_the_list_of_ends_may_be_cut => {
+        let port = Rc::new(CountingWorker::default());
+        let other = |number| {
+            let mut run = start_order(0).starts[0].task_run(0);
+            run.task.index = u32::try_from(number).expect("a small number");
+            EndedTask { number, run, kind: EndKind::Done, checkpoint: None }
+        };
+        port.ended.borrow_mut().extend((1..=MAX_LISTED_ENDS).map(other));
+        let supervisor = supervise(&port, EPOCH).await;
+        let mut orders = start_order(0);
+        let stopped = orders.starts[0].task_run(0);
+        orders.starts.clear();
+        orders.stops.push(stopped);
+        let answer = supervisor.execute(orders).await.expect("the agent accepts the orders");
+        assert_ne!(answer.stops[0].outcome, TaskOutcome::Absent);
+    }
 }
