Show that a rebirth hides the open outcome of an unanswered start

What callers could see: a task runs twice at once (TWICE), after a worker was started again under its id.

Cause: an unanswered start can have reached the next incarnation, which is addressed by the same id. The next try finds that the agent supervises another incarnation, and answers that the run was refused, on the ground that a replaced worker starts nothing any more; the owner then records the run as lost and starts the task elsewhere.

No change of the product.

--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -12,6 +12,7 @@
 use common::worker;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use futures_util::future::join;
 
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
@@ -285,4 +286,20 @@
         let answer = supervisor.execute(orders).await.expect("the agent accepts the orders");
         assert_ne!(answer.stops[0].outcome, TaskOutcome::Absent);
     }
+
+    // Guards against a start elsewhere of a task whose unanswered start reached the next incarnation of the worker.
+    unanswered_start_has_an_unknown_outcome_when_the_worker_is_reborn_under_its_id => {
+        let port = Rc::new(CountingWorker::default());
+        let supervisor = supervise(&port, EPOCH).await;
+        port.is_silent.set(true);
+        let rebirth = async {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            let mut reborn = announcement();
+            reborn.worker.born_unix_ms += 1;
+            assert!(supervisor.record_heartbeat(reborn));
+        };
+        let (outcome, ()) = join(start_outcome(&supervisor, u64::MAX), rebirth).await;
+        assert_eq!(outcome, TaskOutcome::Unknown);
+        assert_eq!(port.starts.get(), 1);
+    }
 }
