--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -145,12 +145,18 @@
     pub(crate) hosts: Vec<Host>,
     pub(crate) entry: Rc<DomainEntry>,
     next_worker: Cell<usize>,
+    ended_job_retention: Duration,
     _entry_task: JoinHandle<()>,
 }
 
 impl TestDomain {
     /// Starts a domain with `count` hosts and waits until it has an owner and all workers.
     pub(crate) async fn start(count: usize) -> Self {
+        Self::start_with_retention(count, DomainSettings::new("test").ended_job_retention).await
+    }
+
+    /// Starts a domain that keeps ended jobs for `ended_job_retention`.
+    pub(crate) async fn start_with_retention(count: usize, ended_job_retention: Duration) -> Self {
         let store = EmulatedStore::new();
         let configuration = Transaction::new().with_put("op/config", "{1}");
         store.memory.apply(&configuration);
@@ -178,6 +184,7 @@
             hosts,
             entry,
             next_worker: Cell::new(count),
+            ended_job_retention,
             _entry_task: entry_task,
         };
         for host in 0..count {
@@ -194,7 +201,9 @@
         let host = &self.hosts[host];
         let store = self.store.connection();
         let port = Rc::new(EmulatedPort::new(Rc::clone(&host.worker)));
-        let agent = DomainAgent::bind(agent_settings(&host.name), ports(&host.name, &store), port)
+        let mut settings = agent_settings(&host.name);
+        settings.domain.ended_job_retention = self.ended_job_retention;
+        let agent = DomainAgent::bind(settings, ports(&host.name, &store), port)
             .await
             .expect("a free port");
         let supervisor = agent.supervisor();
--- /dev/null
+++ b/crates/assembly/tests/deletion.rs
@@ -0,0 +1,32 @@
+//! Tests of the deletion of jobs that have ended.
+
+mod common;
+
+use std::time::Duration;
+
+use common::TestDomain;
+use common::job;
+use common::run;
+
+use nutmegwalk_workload::JobRow;
+use nutmegwalk_workload::JobState;
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
+}
+
+cases! {
+    // Guards against a snapshot that was read before a job was deleted, is applied after it, and starts the job again.
+    deleted_job_does_not_start_again_from_an_earlier_snapshot => {
+        let domain = TestDomain::start_with_retention(1, Duration::from_secs(1)).await;
+        domain.submit("normal", "a", job(1, 10)).await;
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        domain.store.loses_history_at_deletion.set(true);
+        let accepted = [JobRow::Accepted.key("a")];
+        domain
+            .wait_until("the job is deleted", || domain.store.memory.read(&accepted) == [None])
+            .await;
+        compio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(domain.events.started_runs("a.0.0.0").len(), 1);
+    }
+}
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -36,10 +36,18 @@
     pub is_connection_down: Rc<Cell<bool>>,
     /// Requests for changes of jobs on this connection are not answered while this is set.
     pub is_job_feed_silent: Rc<Cell<bool>>,
+    /// The next deletion loses the history of changes, and takes effect after all pages that are read because of that,
+    /// whose answers arrive later, while this is set.
+    pub loses_history_at_deletion: Rc<Cell<bool>>,
+    /// Whether such a deletion is in progress.
+    is_deleting: Rc<Cell<bool>>,
     /// Requests on this connection are never answered.
     is_closed: Rc<Cell<bool>>,
 }
 
+/// Time for which a deletion that loses the history waits for the pages, and by which it overtakes their answers.
+const DELETION_DELAY: Duration = Duration::from_millis(150);
+
 impl EmulatedStore {
     /// Creates an empty store.
     #[must_use]
@@ -63,6 +71,17 @@
         self.is_closed.set(true);
     }
 
+    /// Loses the history of changes and waits until followers have read new pages.
+    async fn lose_history(&self) {
+        self.is_deleting.set(true);
+        // Followers that have read all changes lose none of them.
+        let unread = Transaction::new().with_put("unread", "");
+        self.memory.apply(&unread);
+        self.memory.drop_history();
+        compio::time::sleep(DELETION_DELAY).await;
+        self.is_deleting.set(false);
+    }
+
     async fn check_available(&self) -> Result<()> {
         if self.is_closed.get() {
             std::future::pending::<()>().await;
@@ -93,6 +112,13 @@
                     "progress writes are rejected",
                 ));
             }
+            let is_deletion = transaction
+                .writes
+                .iter()
+                .any(|write| matches!(write, Write::Delete { .. }));
+            if is_deletion && self.loses_history_at_deletion.take() {
+                self.lose_history().await;
+            }
             Ok(self.memory.apply(transaction))
         }
         .boxed_local()
@@ -129,7 +155,11 @@
     ) -> LocalBoxFuture<'a, Result<Page>> {
         async move {
             self.check_available().await?;
-            self.memory.page(prefix, after, limit).await
+            let page = self.memory.page(prefix, after, limit).await;
+            if self.is_deleting.get() {
+                compio::time::sleep(DELETION_DELAY * 2).await;
+            }
+            page
         }
         .boxed_local()
     }
