Show that a start that reaches a reborn worker runs twice

What callers could see: a task runs twice at once (TWICE), after a worker was started again under its id and before its agent has a heartbeat of the new incarnation.

Cause: as for run_listed_by_a_reborn_worker_does_not_start_again_while_it_is_listed; here with a supervisor and an emulated worker, which is addressed by its id alone, as on the platform. A poll that another incarnation answers does not keep the agent from sending starts.

The heartbeats of the tests can be stopped; no change of the product.

--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -41,6 +41,7 @@
 use nutmegwalk_policy::OperatorRows;
 use nutmegwalk_policy::Subject;
 use nutmegwalk_store::Transaction;
+use nutmegwalk_supervisor::Supervisor;
 use nutmegwalk_supervisor::SupervisorTimings;
 use nutmegwalk_workload::AdvicePolicy;
 use nutmegwalk_workload::CustomerPolicy;
@@ -136,6 +137,7 @@
     name: Box<str>,
     process: RefCell<Option<(JoinHandle<()>, Drain, EmulatedStore)>>,
     heartbeats: RefCell<Option<JoinHandle<()>>>,
+    supervisor: RefCell<Option<Supervisor>>,
 }
 
 /// A running domain.
@@ -173,6 +175,7 @@
                 name: format!("agent-{number}").into(),
                 process: RefCell::new(None),
                 heartbeats: RefCell::new(None),
+                supervisor: RefCell::new(None),
             })
             .collect();
         let entry = Rc::new(DomainEntry::new(entry_settings(), &ports("entry", &store)));
@@ -197,8 +200,8 @@
     }
 
     /// Starts the agent of a host, and the heartbeats of its worker.
-    pub(crate) async fn start_agent(&self, host: usize) {
-        let host = &self.hosts[host];
+    pub(crate) async fn start_agent(&self, number: usize) {
+        let host = &self.hosts[number];
         let store = self.store.connection();
         let port = Rc::new(EmulatedPort::new(Rc::clone(&host.worker)));
         let mut settings = agent_settings(&host.name);
@@ -207,6 +210,19 @@
             .await
             .expect("a free port");
         let supervisor = agent.supervisor();
+        *host.supervisor.borrow_mut() = Some(supervisor);
+        self.resume_heartbeats(number);
+        let stop = Drain::new();
+        let running = agent.run(stop.clone());
+        let task = compio::runtime::spawn(running);
+        *host.process.borrow_mut() = Some((task, stop, store));
+    }
+
+    /// Starts the heartbeats of the worker on a host.
+    pub(crate) fn resume_heartbeats(&self, host: usize) {
+        let host = &self.hosts[host];
+        let supervisor = host.supervisor.borrow().clone();
+        let supervisor = supervisor.expect("the agent was started");
         let worker = Rc::clone(&host.worker);
         let heartbeats = compio::runtime::spawn(async move {
             loop {
@@ -217,10 +233,11 @@
             }
         });
         *host.heartbeats.borrow_mut() = Some(heartbeats);
-        let stop = Drain::new();
-        let running = agent.run(stop.clone());
-        let task = compio::runtime::spawn(running);
-        *host.process.borrow_mut() = Some((task, stop, store));
+    }
+
+    /// Stops the heartbeats of the worker on a host, which are lost on their way.
+    pub(crate) fn silence_heartbeats(&self, host: usize) {
+        self.hosts[host].heartbeats.borrow_mut().take();
     }
 
     /// Stops the agent of a host without a graceful shutdown, like SIGKILL.
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -9,6 +9,7 @@
 
 use common::TestDomain;
 use common::gang;
+use common::job;
 use common::run;
 use common::scripted_agent::ScriptedAgent;
 use common::scripted_agent::ended;
@@ -148,4 +149,20 @@
         }
         assert_eq!(agent.stops().first(), Some(&first_run(TASK)));
     }
+
+    // Guards against a second run beside one whose order for an incarnation its successor, under the same id, carried out.
+    start_that_reaches_a_reborn_worker_does_not_run_twice => {
+        let domain = TestDomain::start(2).await;
+        // Needs both workers.
+        domain.submit("normal", "busy", gang(2, 10)).await;
+        domain.wait_for_state("normal", "busy", JobState::Completed).await;
+        domain.silence_heartbeats(0);
+        domain.hosts[0].worker.restart_as("i-0");
+        domain.submit("normal", "a", job(12, 3_000)).await;
+        let is_started = || (0..12).any(|task| domain.hosts[0].worker.has_run_of(&format!("a.0.0.{task}")));
+        domain.wait_until("a task of the job starts on the reborn worker", is_started).await;
+        domain.resume_heartbeats(0);
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        assert_eq!(domain.events.violations(), Vec::<String>::new());
+    }
 }
