--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use common::TestDomain;
 use common::gang;
@@ -14,6 +15,7 @@
 use common::scripted_agent::ended;
 use common::scripted_agent::first_run;
 use common::scripted_agent::idle_worker;
+use common::scripted_agent::running;
 
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::EndKind;
@@ -129,4 +131,64 @@
         }
         assert!(agent.ordered_runs(TASK).is_empty());
     }
+
+    // Guards against a lapse reported by an ended process of the agent that ends a run begun under its successor.
+    run_outlives_a_late_report_of_a_lapse_by_an_ended_process_of_its_agent => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        agent.report_of_ended_process(owner, lapsed_worker()).await;
+        let end = ended(first_run(TASK), EndKind::Done);
+        agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
+        domain
+            .wait_until_async("the job completes or its task is ordered again", async || {
+                agent.ordered_runs(TASK) != [1]
+                    || domain.state("normal", "a").await == Ok(JobState::Completed)
+            })
+            .await;
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
+
+    // Guards against a second run beside one that the worker's next incarnation, under the same id, has started.
+    run_listed_by_a_reborn_worker_does_not_start_again_while_it_is_listed => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        domain.cancel("normal", "busy").await;
+        let mut reborn = WorkerStatus { running: vec![running(first_run(TASK))], ..idle_worker() };
+        reborn.announcement.worker.born_unix_ms += 1;
+        let listed_until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < listed_until {
+            agent.report(owner, reborn.clone()).await;
+            assert_eq!(agent.ordered_runs(TASK), [1]);
+            assert_eq!(domain.events.started_runs(TASK), []);
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    // Guards against giving the room of an unexpected run away while its stop is accepted and its end not listed yet.
+    unexpected_run_that_is_being_stopped_keeps_its_room => {
+        let (_domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        let mut reborn = WorkerStatus { running: vec![running(first_run(TASK))], ..idle_worker() };
+        reborn.announcement.worker.born_unix_ms += 1;
+        let listed_until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < listed_until {
+            agent.report(owner, reborn.clone()).await;
+            assert_eq!(agent.ordered_runs(TASK), [1]);
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.stops().first(), Some(&first_run(TASK)));
+    }
+
+    // Guards against a second run beside one whose order for an incarnation its successor, under the same id, carried out.
+    start_that_reaches_a_reborn_worker_does_not_run_twice => {
+        let domain = TestDomain::start(2).await;
+        // Needs both workers.
+        domain.submit("normal", "busy", gang(2, 10)).await;
+        domain.wait_for_state("normal", "busy", JobState::Completed).await;
+        domain.silence_heartbeats(0);
+        domain.hosts[0].worker.restart_as("i-0");
+        domain.submit("normal", "a", job(12, 3_000)).await;
+        let is_started = || (0..12).any(|task| domain.hosts[0].worker.has_run_of(&format!("a.0.0.{task}")));
+        domain.wait_until("a task of the job starts on the reborn worker", is_started).await;
+        domain.resume_heartbeats(0);
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        assert_eq!(domain.events.violations(), Vec::<String>::new());
+    }
 }
