Drop late reports of an ended agent process also between two heartbeats

What callers could see: a task runs twice at once (TWICE), when an agent is killed behind a cut and its last report arrives after the first ones of its successor.

Cause: the successor does not know which lapse its predecessor reported, and carries out orders assigned before it.

Change: a report of another process with the same heartbeat is late too; a new process knows the worker only from a later heartbeat.

Evidence: run_outlives_a_late_report_of_a_lapse_by_an_ended_process_of_its_agent failed before: [1, 2], expected [1].

--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -18,6 +18,7 @@
 use crate::term::Term;
 use crate::term::as_ms;
 use crate::worker::AgentInfo;
+use crate::worker::REPORT_TIMEOUT;
 use crate::worker::UnexpectedRun;
 use crate::worker::Worker;
 use nutmegwalk_base::clock;
@@ -70,7 +71,7 @@
     /// Records the agent; `None` if a later report of it was received before.
     fn record_agent(&self, report: &Report, now: Instant) -> Option<ReportedWorker> {
         let mut state = self.state.borrow_mut();
-        if state.is_late(report) {
+        if state.is_late(report, now) {
             return None;
         }
         let known = state.agents.get(&report.agent);
@@ -341,21 +342,24 @@
 
 impl State {
     /// Returns whether a later report of the agent, or of a later process of it, was received before.
-    fn is_late(&self, report: &Report) -> bool {
+    fn is_late(&self, report: &Report, now: Instant) -> bool {
         let Some(known) = self.agents.get(&report.agent) else {
             return false;
         };
         if known.incarnation == report.incarnation {
             return known.sequence >= report.sequence;
         }
-        // Incarnations have no order, but the worker's heartbeats do.
+        if now.saturating_duration_since(known.last_report_at) > REPORT_TIMEOUT {
+            return false;
+        }
+        // Incarnations have no order, but the worker's heartbeats do: a new process knows only later ones.
         report.worker.as_ref().is_some_and(|status| {
             let announcement = &status.announcement;
             self.workers
                 .get(&announcement.worker.id)
                 .is_some_and(|worker| {
                     worker.announcement.worker == announcement.worker
-                        && worker.announcement.sequence > announcement.sequence
+                        && worker.announcement.sequence >= announcement.sequence
                 })
         })
     }
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -15,7 +15,7 @@
 use nutmegwalk_workload::WorkerRef;
 
 /// Time without a report after which a worker gets no new tasks: two report intervals and a margin.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time without an answer from the worker to its agent after which it gets no new tasks.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_500);
 
