Leave the outcome of an unanswered start open across a rebirth

What callers could see: a task runs twice at once (TWICE), when a worker starts again under its id while a start is unanswered.

Cause: an agent that saw the next incarnation after an unanswered try reported the start as refused, because a worker that has been replaced starts nothing. Requests name the worker's id only, so the next incarnation may have carried it out.

Change: after a try that may take effect no refusal is final.

Evidence: unanswered_start_has_an_unknown_outcome_when_the_worker_is_reborn_under_its_id failed before: Refused(OtherWorker), expected Unknown.

--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -304,8 +304,7 @@
 /// Returns the outcome of a start that was refused at last. `may_start` tells whether an earlier try may still take
 /// effect.
 fn refused(refusal: Refusal, may_start: bool) -> TaskOutcome {
-    // A worker that has been replaced starts nothing any more.
-    if may_start && refusal != Refusal::OtherWorker {
+    if may_start {
         TaskOutcome::Unknown
     } else {
         TaskOutcome::Refused(refusal)
