Stop runs on a worker reborn under its id before they start again

What callers could see: a task runs twice at once (TWICE), after a worker has crashed and started again under the id it had.

Cause: a later incarnation was taken for the end of all runs on the earlier one. Requests name the worker's id only: a start for the earlier incarnation that is sent before its agent hears of the next one, or that is carried out late, runs on the next one.

Change: under the same id the runs are assigned to the next incarnation and stopped there; they start again once it has confirmed the stop, and refuses the run from then on. A run that is found to be absent keeps its last checkpoint. Under another id nothing changes: requests for the earlier one are refused.

--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -264,7 +264,12 @@
                 });
             }
             TaskOutcome::Absent => {
-                self.apply_end(worker, &result.run, EndKind::Lost, None);
+                let checkpoint = self
+                    .state
+                    .borrow_mut()
+                    .assignment_mut(&result.run)
+                    .and_then(|assignment| assignment.checkpoint.clone());
+                self.apply_end(worker, &result.run, EndKind::Lost, checkpoint.as_deref());
             }
             TaskOutcome::Refused(_) | TaskOutcome::Unknown => {}
         }
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -113,6 +113,21 @@
         }
     }
 
+    /// Assigns the task to the next incarnation of its worker, which may have the run, unless it has ended or was never
+    /// ordered.
+    pub(crate) fn move_to_successor(&mut self, successor: WorkerRef, now: Instant) {
+        match self.state {
+            AssignmentState::Ended => {}
+            AssignmentState::Unstored => self.enter(AssignmentState::Ended, now),
+            AssignmentState::Ordered | AssignmentState::Inherited | AssignmentState::Running => {
+                self.worker = successor;
+                self.enter(AssignmentState::Inherited, now);
+                self.assigned_after = AssignedAfter::EarlierTerm;
+                self.stop = StopState::None;
+            }
+        }
+    }
+
     /// Records the progress that the worker listed at `listed_at`.
     pub(crate) fn record_progress(&mut self, percent: u32, listed_at: Instant) {
         if percent != self.progress_percent || self.progress_since.is_none() {
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -32,6 +32,9 @@
 use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::Run;
+use nutmegwalk_workload::TaskIndex;
+use nutmegwalk_workload::UnitId;
 use nutmegwalk_workload::WorkerRef;
 
 /// Time for which a report that was sent before a start can still arrive after it.
@@ -100,13 +103,20 @@
     }
 
     /// Ends the incarnations of workers that `worker` supersedes. Their runs are lost.
+    ///
+    /// Orders name the worker's id only, so an incarnation with the same id may have started runs of the earlier one, or
+    /// start them later. They are stopped there first.
     fn end_superseded_workers(&self, report: &Report, worker: &WorkerRef) {
         for superseded in self.superseded_workers(report, worker) {
-            self.handle_lost_worker(
-                &superseded,
-                Some(report.sequence),
-                "a later incarnation of the worker has started",
-            );
+            if superseded.id == worker.id {
+                self.stop_on_successor(&superseded, worker);
+            } else {
+                self.handle_lost_worker(
+                    &superseded,
+                    Some(report.sequence),
+                    "a later incarnation of the worker has started",
+                );
+            }
             let mut state = self.state.borrow_mut();
             if state
                 .workers
@@ -120,6 +130,26 @@
         }
     }
 
+    /// Assigns the runs on an incarnation of a worker to its successor with the same id, and stops them.
+    fn stop_on_successor(&self, superseded: &WorkerRef, successor: &WorkerRef) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let moved: Vec<(UnitId, Run, TaskIndex)> = state
+            .assignments_on(superseded)
+            .map(|(unit, run, assignment)| (unit.clone(), run.run, assignment.index))
+            .collect();
+        for (unit, run, index) in &moved {
+            let job = state.jobs.get_mut(&unit.job);
+            if let Some(assignment) = job.and_then(|job| job.assignment_mut(unit, *run, *index)) {
+                assignment.move_to_successor(successor.clone(), now);
+            }
+        }
+        drop(state);
+        for (unit, run, _) in moved {
+            self.stop_run(&unit, run);
+        }
+    }
+
     /// Ends the runs that are over because the worker's lease has lapsed since they were assigned.
     fn end_lapsed_runs(&self, report: &Report, status: &WorkerStatus) {
         let worker = &status.announcement.worker;
