Keep the room of an unexpected run until its end is listed

Cause: when a worker accepted the stop of a run that it should not have, the owner forgot the run at once. The run goes on until the stop takes effect, and takes room until its end is listed.

Change: the run is kept with the time of the accepted stop until a report no longer lists it, or the worker does not have it; the stop is ordered again after a second. Stops that were refused are sent again after a pause, not at once.

The test now lists a run that was never assigned, because the runs on a reborn worker are no longer unexpected; it also checks that the task is ordered again when the run is gone.

--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -17,6 +17,7 @@
 use common::scripted_agent::idle_worker;
 use common::scripted_agent::running;
 
+use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::EndKind;
 use nutmegwalk_workload::JobState;
@@ -164,16 +165,20 @@
 
     // Guards against giving the room of an unexpected run away while its stop is accepted and its end not listed yet.
     unexpected_run_that_is_being_stopped_keeps_its_room => {
-        let (_domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
-        let mut reborn = WorkerStatus { running: vec![running(first_run(TASK))], ..idle_worker() };
-        reborn.announcement.worker.born_unix_ms += 1;
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        let unexpected = TaskRun { run: 7, ..first_run(TASK) };
+        let end = ended(first_run(TASK), EndKind::LeaseLapsed);
+        let listed = WorkerStatus { running: vec![running(unexpected.clone())], ended: vec![end], ..idle_worker() };
         let listed_until = Instant::now() + Duration::from_secs(3);
         while Instant::now() < listed_until {
-            agent.report(owner, reborn.clone()).await;
+            agent.report(owner, listed.clone()).await;
             assert_eq!(agent.ordered_runs(TASK), [1]);
             compio::time::sleep(Duration::from_millis(50)).await;
         }
-        assert_eq!(agent.stops().first(), Some(&first_run(TASK)));
+        assert_eq!(agent.stops().first(), Some(&unexpected));
+        let stopped = WorkerStatus { running: Vec::new(), ..listed };
+        agent.report(owner, stopped).await;
+        domain.wait_until("the task is ordered again", || agent.ordered_runs(TASK) == [1, 2]).await;
     }
 
     // Guards against a second run beside one whose order for an incarnation its successor, under the same id, carried out.
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -65,7 +65,7 @@
     }
 
     /// Sends orders and applies the results; returns false if they have to be sent again after a pause, because
-    /// the agent did not answer or a stop had no known outcome.
+    /// the agent did not answer or a stop was not carried out.
     async fn send_orders(self: &Rc<Self>, worker: &WorkerRef, orders: &Orders) -> bool {
         let address = {
             let state = self.state.borrow();
@@ -92,8 +92,10 @@
                 state.needs_decision |= is_usable_again;
                 drop(state);
                 self.apply_results(worker, &answer);
-                let is_unknown = |result: &StartResult| result.outcome == TaskOutcome::Unknown;
-                !answer.stops.iter().any(is_unknown)
+                let is_open = |result: &StartResult| {
+                    !matches!(result.outcome, TaskOutcome::Done | TaskOutcome::Absent)
+                };
+                !answer.stops.iter().any(is_open)
             }
             Err(error) => {
                 let is_first = known.unreachable_since.is_none();
@@ -146,7 +148,13 @@
             return None;
         }
         let mut starts = BTreeMap::new();
-        let mut stops: Vec<TaskRun> = known.unexpected_runs.keys().cloned().collect();
+        let now = clock::now();
+        let mut stops: Vec<TaskRun> = known
+            .unexpected_runs
+            .iter()
+            .filter(|(_, run)| run.needs_stop(now))
+            .map(|(run, _)| run.clone())
+            .collect();
         collect_orders(&state, worker, &mut starts, &mut stops);
         let permitted_until = self
             .starts_permitted_until()
@@ -243,11 +251,19 @@
         let now = clock::now();
         {
             let mut state = self.state.borrow_mut();
-            if let Some(known) = state.workers.get_mut(&worker.id)
-                && result.outcome != TaskOutcome::Unknown
-            {
-                let is_known = known.unexpected_runs.remove(&result.run).is_some();
-                state.needs_decision |= is_known;
+            if let Some(known) = state.workers.get_mut(&worker.id) {
+                match result.outcome {
+                    TaskOutcome::Done => {
+                        if let Some(run) = known.unexpected_runs.get_mut(&result.run) {
+                            run.stop_accepted_at = Some(now);
+                        }
+                    }
+                    TaskOutcome::Absent => {
+                        let is_known = known.unexpected_runs.remove(&result.run).is_some();
+                        state.needs_decision |= is_known;
+                    }
+                    TaskOutcome::Refused(_) | TaskOutcome::Unknown => {}
+                }
             }
         }
         match result.outcome {
--- a/crates/domain/src/monitor.rs
+++ b/crates/domain/src/monitor.rs
@@ -20,7 +20,7 @@
 use nutmegwalk_workload::WorkerRef;
 
 /// Time after which a stop that was accepted without a reported end is ordered again.
-const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
+pub(crate) const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time for which the other members of a completed gang may still be listed as running before they are stopped.
 const DONE_GRACE_PERIOD: Duration = Duration::from_millis(1_500);
 
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -294,7 +294,13 @@
         for task in &status.running {
             if !state.record_running(worker, task, &self.metrics, listed_at, now) {
                 let demand = state.demand_of(&task.run);
-                unexpected_runs.insert(task.run.clone(), UnexpectedRun { demand });
+                let known = state.workers.get(&worker.id);
+                let known = known.and_then(|known| known.unexpected_runs.get(&task.run));
+                let run = UnexpectedRun {
+                    demand,
+                    stop_accepted_at: known.and_then(|known| known.stop_accepted_at),
+                };
+                unexpected_runs.insert(task.run.clone(), run);
             }
         }
         let is_listed = |run: &TaskRun| {
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::monitor::STOP_RETRY_INTERVAL;
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::ProcessId;
@@ -37,6 +38,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct UnexpectedRun {
     pub(crate) demand: Resources,
+    /// When the worker accepted the order to stop the run. It still takes room until it is no longer listed.
+    pub(crate) stop_accepted_at: Option<Instant>,
+}
+
+impl UnexpectedRun {
+    /// Returns whether the worker has to be ordered to stop the run.
+    pub(crate) fn needs_stop(&self, now: Instant) -> bool {
+        self.stop_accepted_at
+            .is_none_or(|at| now.saturating_duration_since(at) > STOP_RETRY_INTERVAL)
+    }
 }
 
 /// An incarnation of a worker, as reported by its agent.
