Do not take a run for absent while the list of ends may be cut

What callers could see: a task runs again after it was done (TWICE).

Cause: a worker lists 500 ends at once. A run to stop that is behind them is neither running nor listed, and was reported as absent; the owner recorded it as lost and started it again.

Change: after a list of that length the outcome of the stop is unknown, and it is ordered again.

--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -31,6 +31,7 @@
 pub use supervisor::SupervisorTimings;
 pub use worker::Announcement;
 pub use worker::EndedTask;
+pub use worker::MAX_LISTED_ENDS;
 pub use worker::PollAnswer;
 pub use worker::PollRequest;
 pub use worker::Refusal;
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -293,7 +293,11 @@
         let state = self.state.borrow();
         match &state.worker {
             Some(worker) if worker.worker() == addressed && !worker.has_run(run) => {
-                TaskOutcome::Absent
+                if worker.may_have_unlisted_ends {
+                    TaskOutcome::Unknown
+                } else {
+                    TaskOutcome::Absent
+                }
             }
             Some(worker) if worker.worker() == addressed => TaskOutcome::Done,
             _ => TaskOutcome::Refused(Refusal::OtherWorker),
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -12,6 +12,7 @@
 use crate::EndedTask;
 use crate::LeaseClock;
 use crate::LeaseRenewal;
+use crate::MAX_LISTED_ENDS;
 use crate::OwnerClock;
 use crate::PollAnswer;
 use crate::PollRequest;
@@ -116,6 +117,8 @@
     pub(crate) acknowledged: u64,
     pub(crate) running: Vec<RunningTask>,
     pub(crate) ended: Vec<EndedTask>,
+    /// Whether the worker may have ends that its last list had no room for.
+    pub(crate) may_have_unlisted_ends: bool,
     /// Whether the worker's last list had entries that cannot be read.
     pub(crate) is_incomplete: bool,
     /// Number up to which the worker may drop ends at most; `None` for no limit.
@@ -163,6 +166,7 @@
             acknowledged: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            may_have_unlisted_ends: false,
             is_incomplete: false,
             acknowledge_limit: None,
             lapsed_until_ms: None,
@@ -225,6 +229,7 @@
             .cloned()
             .collect();
         running.extend(not_listed_yet);
+        self.may_have_unlisted_ends = answer.ended.len() >= MAX_LISTED_ENDS;
         let ended: Vec<EndedTask> = answer
             .ended
             .into_iter()
--- a/crates/supervisor/src/worker.rs
+++ b/crates/supervisor/src/worker.rs
@@ -180,6 +180,9 @@
     pub wait: Duration,
 }
 
+/// Number of ends that an answer lists at most; the later ones are listed when these are dropped.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 /// Answer of the worker to a [`PollRequest`].
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PollAnswer {
