Record starts that exceed the capacity of an emulated worker

Callers of the tests saw nothing when a worker was given more than its capacity: the emulated workers did not know what a task uses. Payloads now name it (`cpu`, `mem`, `gpu`), a start beyond the capacity is recorded as a violation, and `stop_delay` makes runs take some time to stop, during which they count.

--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -14,6 +14,8 @@
 pub enum Event {
     /// A run started.
     Started,
+    /// A run started for which the worker had no room beside its other runs, including those that are being stopped.
+    ExceededCapacity,
     /// A run ended.
     Ended(EndKind),
     /// The end of a run was acknowledged, and the lease had not lapsed since the end was reported.
@@ -66,8 +68,8 @@
             .collect()
     }
 
-    /// Returns the violations of two invariants: at most one run of a task is active at any time, and no run
-    /// starts after the success of the task was acknowledged.
+    /// Returns the violations of three invariants: at most one run of a task is active at any time, no run
+    /// starts after the success of the task was acknowledged, and no start exceeds the capacity of a worker.
     #[must_use]
     pub fn violations(&self) -> Vec<String> {
         let mut checker = ViolationChecker::default();
@@ -92,6 +94,10 @@
         let run = &logged.run;
         match logged.event {
             Event::Started => self.apply_start(run),
+            Event::ExceededCapacity => self.violations.push(format!(
+                "{run:?} exceeded the capacity of the worker on {}",
+                logged.machine
+            )),
             Event::Ended(kind) => {
                 if self.running.get(&run.task) == Some(run) {
                     self.running.remove(&run.task);
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use nutmegwalk_workload::Resources;
+
 /// Behaviour of a task, parsed from its payload. The payload is a list of tokens separated by spaces:
 /// `work=<ms>` sets the work time, `gang=<tasks>` makes the task work only once that many tasks of its step
 /// have started, `fails=<runs>` makes that many runs fail, `fail` makes every run fail, `saves` enables
-/// checkpoints, and `lasts` makes the task run until it is stopped.
+/// checkpoints, `lasts` makes the task run until it is stopped, and `cpu=<milli cores>`, `mem=<megabytes>` and
+/// `gpu=<accelerators>` set what it uses of the worker.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TaskScript {
     /// Time for which the task works at full pace before it ends.
@@ -18,6 +21,8 @@
     pub has_checkpoints: bool,
     /// Whether the task runs until it is stopped.
     pub is_long_running: bool,
+    /// Resources that the task uses.
+    pub demand: Resources,
 }
 
 impl TaskScript {
@@ -34,6 +39,9 @@
                 "fails" => script.failing_runs = number,
                 "fail" => script.failing_runs = u32::MAX,
                 "saves" => script.has_checkpoints = true,
+                "cpu" => script.demand.milli_cores = u64::from(number),
+                "mem" => script.demand.memory_mb = u64::from(number),
+                "gpu" => script.demand.accelerators = u64::from(number),
                 "lasts" => script.is_long_running = true,
                 _ => {}
             }
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -79,6 +79,8 @@
     /// Work done, including the work of earlier runs from whose checkpoint this run resumed.
     done: Duration,
     pace_percent: u32,
+    /// When the run ends because it was told to stop.
+    stops_at: Option<Instant>,
 }
 
 /// State of one incarnation of a worker.
@@ -115,6 +117,8 @@
     pub slowdown_factor: Cell<u32>,
     /// Tasks make no progress.
     pub stalls: Cell<bool>,
+    /// Time that a run takes to stop, during which it uses its resources.
+    pub stop_delay: Cell<Duration>,
 }
 
 /// Emulated worker with its successive incarnations.
@@ -263,6 +267,9 @@
     fn advance(&self, running: &mut Running, elapsed: Duration, now: Instant) -> Option<EndKind> {
         let script = running.script;
         let run = &running.run;
+        if let Some(stops_at) = running.stops_at {
+            return (now >= stops_at).then_some(EndKind::Stopped);
+        }
         if self.faults.fails_all.get() {
             return Some(EndKind::Failed);
         }
@@ -334,8 +341,16 @@
         if script.gang > 1 {
             self.gangs.add_member(&request.run);
         }
-        self.log
-            .push(&self.setup.machine, request.run.clone(), Event::Started);
+        let machine = &self.setup.machine;
+        self.log.push(machine, request.run.clone(), Event::Started);
+        let others = incarnation.running.iter();
+        let demand = others.fold(script.demand, |sum, running| {
+            sum.plus(running.script.demand)
+        });
+        if !demand.fits(self.setup.capacity) {
+            self.log
+                .push(machine, request.run.clone(), Event::ExceededCapacity);
+        }
         incarnation.running.push(Running {
             run: request.run.clone(),
             script,
@@ -345,6 +360,7 @@
                 .as_deref()
                 .map_or(Duration::ZERO, checkpointed_work),
             pace_percent: 100,
+            stops_at: None,
         });
         answer(None)
     }
@@ -375,7 +391,13 @@
             .running
             .iter()
             .position(|running| running.run == *run);
-        if let Some(position) = position {
+        let stop_delay = self.faults.stop_delay.get();
+        if let Some(position) = position
+            && !stop_delay.is_zero()
+        {
+            let stops_at = &mut incarnation.running[position].stops_at;
+            stops_at.get_or_insert(Instant::now() + stop_delay);
+        } else if let Some(position) = position {
             let running = incarnation.running.remove(position);
             self.end(&mut incarnation, running, EndKind::Stopped);
         } else {
