Show that a worker is left out for good after orders that were not answered

Callers see a job that needs all workers wait for ever. `Worker::unreachable_since` is set when the delivery of orders fails and cleared only by a later delivery (`send_orders` in crates/domain/src/dispatch.rs). If the run ends or its orders become obsolete in between, nothing is delivered any more and the worker stays out until its incarnation ends.

--- a/crates/assembly/tests/cuts.rs
+++ b/crates/assembly/tests/cuts.rs
@@ -61,6 +61,33 @@
     }
 }
 
+/// Loses the answers to the orders for one host until its run has ended.
+async fn lose_answers_to_all_orders_of_a_run() {
+    let domain = TestDomain::start(2).await;
+    domain.submit("normal", "first", gang(2, 100)).await;
+    domain
+        .wait_for_state("normal", "first", JobState::Completed)
+        .await;
+    let owner = domain.owner().expect("domain has an owner");
+    domain.lose_answers_of(Some(1 - owner));
+    domain.submit("normal", "unheard", gang(2, 300)).await;
+    domain
+        .wait_for_state("normal", "unheard", JobState::Completed)
+        .await;
+    domain.lose_answers_of(None);
+    domain.submit("normal", "later", gang(2, 300)).await;
+    domain
+        .wait_for_state("normal", "later", JobState::Completed)
+        .await;
+    domain.assert_no_violations();
+}
+
+// Guards against a worker that gets no work for good because the orders that its agent did not answer are obsolete.
+#[rstest::rstest]
+fn worker_is_used_again_after_unanswered_orders() {
+    run(lose_answers_to_all_orders_of_a_run);
+}
+
 cases! {
     // Guards against ending runs that were ordered after the lapse of a lease that a report of a reconnected host states.
     host_cut_for_longer_than_the_lease_of_its_worker => (1, MAX_LEASE);
