Use a worker again after orders that were not answered

What callers could see: jobs that need the worker wait for ever, and the worker stands idle.

Cause: the owner leaves a worker out after a failed delivery of orders until a later delivery succeeds. When the run of those orders had ended meanwhile, nothing was left to deliver.

Change: a failed delivery leaves the worker out for two seconds. Orders that are repeated extend that time.

Evidence: worker_is_used_again_after_unanswered_orders and host_cut_until_the_owner_gives_its_worker_up_again failed before after 60 s: "job later is not Completed but Ok(Pending)".

--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -88,7 +88,7 @@
         };
         let is_answered = match result {
             Ok(answer) => {
-                let is_usable_again = known.unreachable_since.take().is_some();
+                let is_usable_again = known.undelivered_at.take().is_some();
                 state.needs_decision |= is_usable_again;
                 drop(state);
                 self.apply_results(worker, &answer);
@@ -98,8 +98,7 @@
                 !answer.stops.iter().any(is_open)
             }
             Err(error) => {
-                let is_first = known.unreachable_since.is_none();
-                known.unreachable_since.get_or_insert_with(clock::now);
+                let is_first = known.undelivered_at.replace(clock::now()).is_none();
                 if is_first {
                     warn!(target: event::ORDERS_NOT_GIVEN, worker = &*worker.id, agent = &*known.agent; "cannot send orders: {error}");
                 }
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -199,7 +199,7 @@
                 health: WorkerHealth::new(self.settings.health),
                 orders: Signal::new(),
                 leaves_at: None,
-                unreachable_since: None,
+                undelivered_at: None,
             });
         let was_responsive = entry.is_responsive(now);
         let has_changed = entry.announcement.capacity != status.announcement.capacity
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -20,6 +20,10 @@
 /// Time without an answer from the worker to its agent after which it gets no new tasks.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Time after a failed delivery of orders for which a worker gets no new tasks. Without orders to deliver, only a new
+/// task shows whether its agent can be reached again.
+const DELIVERY_RETRY_INTERVAL: Duration = Duration::from_millis(2_000);
+
 /// An agent that has sent a report.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentInfo {
@@ -73,8 +77,8 @@
     pub(crate) orders: Signal,
     /// Earliest time at which the worker leaves, if it has announced that.
     pub(crate) leaves_at: Option<Instant>,
-    /// When the delivery of orders first failed; `None` if the last delivery succeeded.
-    pub(crate) unreachable_since: Option<Instant>,
+    /// When the delivery of orders last failed; `None` if the last delivery succeeded.
+    pub(crate) undelivered_at: Option<Instant>,
 }
 
 impl Worker {
@@ -83,7 +87,9 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         age(self.last_report_at) < REPORT_TIMEOUT
             && self.answered_at.is_some_and(|at| age(at) < ANSWER_TIMEOUT)
-            && self.unreachable_since.is_none()
+            && self
+                .undelivered_at
+                .is_none_or(|at| age(at) > DELIVERY_RETRY_INTERVAL)
     }
 
     /// Returns whether the worker's lease is guaranteed to have lapsed, so that no run can be there any more.
