Reproduce a task that crashes the workers that start it

Callers saw one task crash worker after worker. The emulated worker now obeys `crashes=<ms>` in a task's payload: it crashes that long after the start and is back as a later incarnation, while its agent lives. Its announced capacity can change while it runs.

--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -12,9 +12,20 @@
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Outcome;
 use nutmegwalk_supervisor::WorkerState;
+use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::JobState;
 use nutmegwalk_workload::StepSpec;
 
+/// Starts of a task that crashes each worker that starts it: one fewer than three more after three crashes.
+const MAX_CRASHING_STARTS: usize = 5;
+
+/// Returns a job of one task that crashes its worker shortly after it has started.
+fn crashing() -> JobSpec {
+    let mut spec = job(1, 60_000);
+    spec.payload = "work=60000 crashes=20".into();
+    spec
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
 }
@@ -197,4 +208,54 @@
         domain.wait_for_state("normal", "a", JobState::Failed).await;
         assert_eq!(domain.events.started_runs("a.0.0.0").len(), 2);
     }
+
+    // Guards against a task that crashes worker after worker: three more starts after three crashes are too many.
+    task_that_crashes_its_workers_is_given_up => {
+        let domain = TestDomain::start(4).await;
+        domain.submit("normal", "a", crashing()).await;
+        domain.wait_for_state("normal", "a", JobState::Failed).await;
+        assert!(domain.events.started_runs("a.0.0.0").len() <= MAX_CRASHING_STARTS);
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        assert!(domain.hosts.iter().all(|host| !host.worker.has_run_of("a.0.0.0")));
+        domain.assert_no_violations();
+    }
+
+    // Guards against an owner that starts to count the crashes anew when it takes over.
+    crashes_of_workers_are_counted_across_owners => {
+        let domain = TestDomain::start(4).await;
+        domain.submit("normal", "a", crashing()).await;
+        for starts in 1..=2 {
+            domain.wait_for_starts("a.0.0.0", starts).await;
+            let owner = domain.owner().expect("domain has an owner");
+            domain.kill_agent(owner);
+            domain.start_agent(owner).await;
+        }
+        domain.wait_for_state("normal", "a", JobState::Failed).await;
+        assert!(domain.events.started_runs("a.0.0.0").len() <= MAX_CRASHING_STARTS);
+        domain.assert_no_violations();
+    }
+
+    // Guards against jobs that are given up because another job's task has crashed their workers.
+    job_beside_a_crashing_task_completes => {
+        let domain = TestDomain::start(3).await;
+        domain.submit("normal", "innocent", job(9, 1_500)).await;
+        domain.wait_for_starts("innocent.0.0.8", 1).await;
+        domain.submit("normal", "a", crashing()).await;
+        domain.wait_for_state("normal", "a", JobState::Failed).await;
+        domain.wait_for_state("normal", "innocent", JobState::Completed).await;
+        domain.assert_no_violations();
+    }
+
+    // Guards against a job that is given up because its hosts fail: their workers have not crashed.
+    job_on_hosts_that_fail_is_not_given_up => {
+        let domain = TestDomain::start(2).await;
+        domain.submit("normal", "a", job(1, 2_000)).await;
+        for starts in 1..=4 {
+            domain.wait_for_starts("a.0.0.0", starts).await;
+            domain.cut_power();
+            domain.restore_power().await;
+        }
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        domain.assert_no_violations();
+    }
 }
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -5,7 +5,8 @@
 /// Behaviour of a task, parsed from its payload. The payload is a list of tokens separated by spaces:
 /// `work=<ms>` sets the work time, `gang=<tasks>` makes the task work only once that many tasks of its step
 /// have started, `fails=<runs>` makes that many runs fail, `fail` makes every run fail, `saves` enables
-/// checkpoints, and `lasts` makes the task run until it is stopped.
+/// checkpoints, `lasts` makes the task run until it is stopped, and `crashes=<ms>` makes the task crash its worker
+/// after that time.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TaskScript {
     /// Time for which the task works at full pace before it ends.
@@ -18,6 +19,8 @@
     pub has_checkpoints: bool,
     /// Whether the task runs until it is stopped.
     pub is_long_running: bool,
+    /// Time after its start at which the task crashes its worker; `None` if it does not.
+    pub crashes_after: Option<Duration>,
 }
 
 impl TaskScript {
@@ -35,6 +38,9 @@
                 "fail" => script.failing_runs = u32::MAX,
                 "saves" => script.has_checkpoints = true,
                 "lasts" => script.is_long_running = true,
+                "crashes" => {
+                    script.crashes_after = Some(Duration::from_millis(u64::from(number)));
+                }
                 _ => {}
             }
         }
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -38,6 +38,8 @@
 const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Startup time of a long-running task, after which it reports 100 percent progress.
 const LONG_RUNNING_STARTUP: Duration = Duration::from_millis(200);
+/// Time after which a worker that a task has crashed is back as a later incarnation.
+const RESTART_DELAY: Duration = Duration::from_millis(800);
 
 /// Static description of a worker.
 #[derive(Clone, Debug)]
@@ -125,10 +127,14 @@
     log: EventLog,
     gangs: GangRegistry,
     is_powered: Cell<bool>,
+    /// When the worker starts again after a task has crashed it.
+    restart_at: Cell<Option<Instant>>,
     /// Faults of the worker.
     pub faults: WorkerFaults,
     /// State that the worker announces; it does not affect start requests.
     pub state: Cell<WorkerState>,
+    /// Capacity that the worker announces; it does not affect start requests.
+    pub capacity: Cell<Resources>,
 }
 
 impl EmulatedWorker {
@@ -136,14 +142,17 @@
     #[must_use]
     pub fn new(setup: WorkerSetup, id: &str, log: EventLog, gangs: GangRegistry) -> Rc<Self> {
         let incarnation = Incarnation::new(id, &setup.machine, 1);
+        let capacity = Cell::new(setup.capacity);
         let worker = Rc::new(Self {
             setup,
             incarnation: RefCell::new(incarnation),
             log,
             gangs,
             is_powered: Cell::new(true),
+            restart_at: Cell::new(None),
             faults: WorkerFaults::default(),
             state: Cell::new(WorkerState::Ready),
+            capacity,
         });
         let ticking = Rc::downgrade(&worker);
         compio::runtime::spawn(async move {
@@ -191,9 +200,28 @@
         let born = self.incarnation.borrow().worker.born_unix_ms + 1;
         *self.incarnation.borrow_mut() = Incarnation::new(id, &self.setup.machine, born);
         self.state.set(WorkerState::Ready);
+        self.restart_at.set(None);
         self.is_powered.set(true);
     }
 
+    /// Crashes the worker, or starts it again, if a task of its script has determined that.
+    fn apply_crashing_tasks(&self, now: Instant) {
+        let is_crashing = self.incarnation.borrow().running.iter().any(|running| {
+            let age = now.saturating_duration_since(running.started_at);
+            running
+                .script
+                .crashes_after
+                .is_some_and(|after| age >= after)
+        });
+        if is_crashing {
+            self.crash();
+            self.restart_at.set(Some(now + RESTART_DELAY));
+        } else if self.restart_at.get().is_some_and(|at| now >= at) {
+            let born_unix_ms = self.incarnation.borrow().worker.born_unix_ms;
+            self.restart_as(&format!("{}-{}", self.setup.machine, born_unix_ms + 1));
+        }
+    }
+
     /// Returns whether a run of the task is on this worker.
     #[must_use]
     pub fn has_run_of(&self, task: &str) -> bool {
@@ -217,7 +245,7 @@
             data_centre: self.setup.data_centre.clone(),
             rack: self.setup.labels.get(1).cloned(),
             labels: self.setup.labels.clone(),
-            capacity: self.setup.capacity,
+            capacity: self.capacity.get(),
             state: self.state.get(),
             cold_remaining_ms: 0,
             sequence: incarnation.sequence,
@@ -238,6 +266,7 @@
     /// Advances all tasks to the current time and ends those that are done or whose lease has lapsed.
     fn tick(&self) {
         let now = Instant::now();
+        self.apply_crashing_tasks(now);
         let mut incarnation = self.incarnation.borrow_mut();
         let incarnation = &mut *incarnation;
         let elapsed = now.saturating_duration_since(incarnation.ticked_at);
