Report the crashes of a worker that its agent has seen

An owner could not tell a worker that crashed from one whose host or link was gone: both ended as lost runs. The agent now logs worker_crashed and reports the last incarnations of its worker that a later one has replaced without notice.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -149,6 +149,8 @@
     WORKER_SET_ASIDE = "worker_set_aside";
     /// An agent has received the first heartbeat of its worker.
     WORKER_ANNOUNCED = "worker_announced";
+    /// A later incarnation of a worker has started, and the one before had not announced its end.
+    WORKER_CRASHED = "worker_crashed";
     /// A worker has left permanently.
     WORKER_LEFT = "worker_left";
     /// An agent cannot poll its worker.
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -37,6 +37,9 @@
     pub running: Vec<RunningTask>,
     /// Ends that the owner has not acknowledged, oldest first.
     pub ended: Vec<EndedTask>,
+    /// Last incarnations of the worker that ended without notice while this agent supervised them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<WorkerRef>,
 }
 
 /// Report of an agent to the owner, sent immediately after a change and otherwise at an interval.
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -18,6 +18,7 @@
 use crate::RunningTask;
 use crate::TaskRun;
 use crate::WorkerPort;
+use crate::WorkerState;
 use crate::WorkerStatus;
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
@@ -29,6 +30,9 @@
 use nutmegwalk_base::signal::Signal;
 use nutmegwalk_workload::WorkerRef;
 
+/// Number of crashed incarnations that are reported to the owner.
+const MAX_CRASHED: usize = 8;
+
 /// Timeouts and intervals of the supervision.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SupervisorTimings {
@@ -92,6 +96,8 @@
     pub(crate) lease_limit: Option<Instant>,
     /// Epoch that the worker refused because it has seen a higher one; polls no longer use it.
     refused_epoch: Epoch,
+    /// Last incarnations of the worker that crashed while they were supervised.
+    crashed: Vec<WorkerRef>,
 }
 
 /// State of the current incarnation of the worker.
@@ -231,6 +237,7 @@
             born_unix_ms = announcement.worker.born_unix_ms;
             ""
         );
+        state.record_end_of_incarnation();
         state.worker = Some(SupervisedWorker::new(announcement, now));
         state.refused_epoch = 0;
         self.inner.report_needed.raise();
@@ -272,6 +279,7 @@
             },
             running: worker.running.clone(),
             ended: worker.ended.clone(),
+            crashed: state.crashed.clone(),
         })
     }
 
@@ -469,6 +477,25 @@
 }
 
 impl State {
+    /// Records the current incarnation of the worker as crashed if a later one replaces it without notice.
+    fn record_end_of_incarnation(&mut self) {
+        if let Some(ended) = &self.worker
+            && ended.announcement.state == WorkerState::Ready
+        {
+            let worker = ended.worker();
+            info!(target: event::WORKER_CRASHED,
+                worker = &*worker.id,
+                born_unix_ms = worker.born_unix_ms,
+                runs = ended.running.len();
+                ""
+            );
+            if self.crashed.len() == MAX_CRASHED {
+                self.crashed.remove(0);
+            }
+            self.crashed.push(worker.clone());
+        }
+    }
+
     /// Returns a poll request that renews the lease as far as the owner allows.
     pub(crate) fn poll_request(
         &self,
