Give up tasks that crash the workers that start them

Cause: the only evidence against a task was an end that a worker listed as failed; a worker that has crashed lists nothing. The class: a failure that removes its own witness.

Change: the agent's report of a crash is held against the units that had a run on that worker, in the stored progress. Suspects of one crash are spread over the workers; after the second crash a unit runs on its own; the job is given up after the second crash if the unit ran alone in one of them, else after the third.

New unit tests: crash_history 10, isolation 7.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -133,6 +133,8 @@
     RUN_ENDED = "run_ended";
     /// The owner has found that the runs on a worker are lost.
     RUNS_LOST = "runs_lost";
+    /// A worker has crashed while it had a run of this unit.
+    RUN_CRASHED_WORKER = "run_crashed_worker";
     /// A worker has an unexpected run and is ordered to stop it.
     RUN_UNWANTED = "run_unwanted";
     /// A worker has refused to start a task.
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -7,6 +7,7 @@
 use nutmegwalk_placement::WaitReason;
 use nutmegwalk_store::RowVersion;
 use nutmegwalk_workload::Attempt;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRecord;
 use nutmegwalk_workload::Occurrence;
@@ -17,6 +18,9 @@
 use nutmegwalk_workload::UnitId;
 use nutmegwalk_workload::WorkerRef;
 
+/// Time for which a run has to work until it is no longer suspected of crashing its worker.
+pub(crate) const TRIAL_TIME: Duration = Duration::from_secs(10);
+
 /// State of the run of a task on its worker, as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AssignmentState {
@@ -196,6 +200,8 @@
     pub(crate) ready_since: Option<Instant>,
     /// When the unit completed.
     pub(crate) done_at: Option<Instant>,
+    /// When the last of the unit's runs ended.
+    pub(crate) last_run_ended_at: Option<Instant>,
     /// Workers on which the unit has failed or stalled.
     pub(crate) failed_on: Vec<WorkerRef>,
 }
@@ -215,7 +221,7 @@
     pub(crate) is_writing: bool,
     pub(crate) units: BTreeMap<UnitId, LiveUnit>,
     /// Reason why each step waits, as logged last.
-    pub(crate) waits: BTreeMap<(Occurrence, StepIndex), WaitReason>,
+    pub(crate) waits: BTreeMap<(Occurrence, StepIndex, CrashRisk), WaitReason>,
     /// Estimated time at which the job was accepted.
     pub(crate) accepted_at: Instant,
     pub(crate) ended_at: Option<Instant>,
@@ -261,6 +267,30 @@
         &self.record.spec.steps[unit.step as usize]
     }
 
+    /// Returns the risk with which a unit is placed.
+    ///
+    /// It is always low for a gang: its members are spread over many workers already, and it is not known on which of
+    /// them a member will be that is suspected.
+    pub(crate) fn placement_risk_of(&self, unit: &UnitId) -> CrashRisk {
+        if self.step_of(unit).is_gang {
+            CrashRisk::Low
+        } else {
+            self.progress.crash_risk(unit)
+        }
+    }
+
+    /// Returns the risk that a run crashes its worker; low once it has worked for a while.
+    pub(crate) fn crash_risk_of(&self, unit: &UnitId, run: &LiveRun, now: Instant) -> CrashRisk {
+        let has_worked = run
+            .all_running_since
+            .is_some_and(|since| now.saturating_duration_since(since) > TRIAL_TIME);
+        if has_worked || self.progress.is_unit_done(unit) {
+            CrashRisk::Low
+        } else {
+            self.placement_risk_of(unit)
+        }
+    }
+
     /// Requests the stop of all runs of the job.
     pub(crate) fn stop_all(&mut self) {
         for unit in self.units.values_mut() {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod capacity;
 mod cleanup;
+mod crash;
 mod directory;
 mod dispatch;
 mod job;
--- a/crates/domain/src/metrics.rs
+++ b/crates/domain/src/metrics.rs
@@ -33,6 +33,7 @@
     moves: Counter<u64>,
     orders: Counter<u64>,
     quarantines: Counter<u64>,
+    crashes: Counter<u64>,
     waiting: Gauge<u64>,
     running: Gauge<u64>,
     workers: Gauge<u64>,
@@ -61,6 +62,7 @@
             moves: meter.u64_counter("nutmegwalk_runs_moved").build(),
             orders: meter.u64_counter("nutmegwalk_orders").build(),
             quarantines: meter.u64_counter("nutmegwalk_workers_set_aside").build(),
+            crashes: meter.u64_counter("nutmegwalk_runs_crashed").build(),
             waiting: meter.u64_gauge("nutmegwalk_tasks_waiting").build(),
             running: meter.u64_gauge("nutmegwalk_runs").build(),
             workers: meter.u64_gauge("nutmegwalk_workers").build(),
@@ -123,6 +125,11 @@
         self.quarantines.add(1, &[]);
     }
 
+    /// Records that a worker has crashed while it had a run of a unit.
+    pub(crate) fn record_crash(&self) {
+        self.crashes.add(1, &[]);
+    }
+
     /// Records the duration of a decision and the size of its input.
     pub(crate) fn record_decision(&self, time: Duration, stats: DecisionStats) {
         self.decision_time.record(time.as_secs_f64(), &[]);
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -190,7 +190,8 @@
                 ));
             }
         }
-        job.waits.remove(&(step.occurrence, step.step));
+        job.waits
+            .remove(&(step.occurrence, step.step, step.crash_risk));
         let task_workers: Vec<String> = assignments()
             .map(|(task, worker)| format!("{task}@{}", worker.id))
             .collect();
@@ -215,7 +216,7 @@
         let Some(job) = state.jobs.get_mut(&step.job) else {
             return;
         };
-        let key = (step.occurrence, step.step);
+        let key = (step.occurrence, step.step, step.crash_risk);
         if job.waits.insert(key, waiting.reason) == Some(waiting.reason) {
             return;
         }
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -65,6 +65,7 @@
                     "the worker's lease has lapsed",
                 );
             }
+            self.apply_crashes(&status.crashed);
         }
         self.state.borrow_mut().advance_acknowledgements();
         self.flush();
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -15,10 +15,12 @@
 use crate::worker::Worker;
 use nutmegwalk_base::CustomerId;
 use nutmegwalk_base::JobId;
+use nutmegwalk_placement::Isolation;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::Occurrence;
 use nutmegwalk_workload::QueuePolicy;
@@ -31,6 +33,8 @@
 const CORES_PER_ACCELERATOR: u64 = 8;
 /// Margin after the due time of an occurrence, in milliseconds, for differences between clocks.
 const DUE_MARGIN_MS: u64 = 20;
+/// Time after which a suspect no longer waits for a worker on which a crash does little harm.
+const MAX_ISOLATION_WAIT: Duration = Duration::from_millis(1_500);
 /// Run time that a stop loses although the task writes a checkpoint then.
 const CHECKPOINT_LOSS: Duration = Duration::from_millis(200);
 
@@ -82,9 +86,11 @@
                         &index_of,
                         now,
                     );
+                    let crash_risk = job.crash_risk_of(unit, run, now);
                     for (worker, size) in &running.allocations {
-                        let allocated = &mut snapshot.workers[*worker].allocated;
-                        *allocated = allocated.plus(*size);
+                        let worker = &mut snapshot.workers[*worker];
+                        worker.allocated = worker.allocated.plus(*size);
+                        worker.crash_risk = worker.crash_risk.max(crash_risk);
                     }
                     snapshot.running.push(running);
                 }
@@ -127,6 +133,7 @@
                 && !self.policy.is_out_of_service(&announcement.data_centre),
             slowdown_factor: 1.0,
             leaves_in: worker.leaves_at.map(|at| at.saturating_duration_since(now)),
+            crash_risk: CrashRisk::Low,
         }
     }
 
@@ -304,15 +311,23 @@
 
 impl WaitingSteps<'_> {
     fn collect(&self) -> Vec<WaitingStep> {
-        let mut steps: BTreeMap<(Occurrence, StepIndex), Vec<&UnitId>> = BTreeMap::new();
+        let mut steps: BTreeMap<(Occurrence, StepIndex, CrashRisk), Vec<&UnitId>> = BTreeMap::new();
         for (unit, live) in &self.job.units {
             if live.runs.is_empty() && live.ready_since.is_some() {
-                let key = (unit.occurrence, unit.step);
+                let crash_risk = self.job.placement_risk_of(unit);
+                let key = (unit.occurrence, unit.step, crash_risk);
                 steps.entry(key).or_default().push(unit);
             }
         }
+        // One decision does not see what it places for another part of the same step, so a step with a limit for
+        // each worker takes part with one group of tasks at a time.
+        let mut limited = BTreeSet::new();
         steps
             .into_values()
+            .filter(|units| {
+                self.job.step_of(units[0]).max_tasks_per_worker.is_none()
+                    || limited.insert((units[0].occurrence, units[0].step))
+            })
             .map(|units| self.waiting_step(&units))
             .collect()
     }
@@ -349,6 +364,8 @@
             started_tasks: self.started_tasks(first),
             excluded: self.excluded(units),
             allowed: None,
+            crash_risk: self.job.placement_risk_of(first),
+            isolation: self.isolation(units),
             run_time: self.urgency.run_times[first.step as usize],
             waited: waited.unwrap_or_default(),
             time_to_deadline: time(&self.urgency.time_to_deadline),
@@ -357,6 +374,21 @@
         }
     }
 
+    /// Returns how far the tasks have to be kept apart from others, so that a crash does little harm.
+    fn isolation(&self, units: &[&UnitId]) -> Isolation {
+        let waits_too_long = units
+            .iter()
+            .filter_map(|unit| self.job.units.get(*unit))
+            .filter_map(|live| live.last_run_ended_at.or(live.ready_since))
+            .any(|at| self.now.saturating_duration_since(at) > MAX_ISOLATION_WAIT);
+        match self.job.placement_risk_of(units[0]) {
+            _ if waits_too_long => Isolation::None,
+            CrashRisk::Low => Isolation::None,
+            CrashRisk::Raised => Isolation::FromSuspects,
+            CrashRisk::High => Isolation::Full,
+        }
+    }
+
     /// Returns the workers with tasks of the same step that have not ended, and the number of these tasks.
     fn started_tasks(&self, first: &UnitId) -> Vec<(usize, u32)> {
         let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -82,6 +82,8 @@
     pub(crate) runs: RunIndex,
     pub(crate) directory: AgentDirectory,
     pub(crate) task_capacity: TaskCapacity,
+    /// Crashed workers whose lost runs have been counted.
+    pub(crate) counted_crashes: BTreeSet<WorkerRef>,
     /// Whether something has changed that a decision depends on.
     pub(crate) needs_decision: bool,
     /// Jobs with changed progress that has to be stored.
@@ -293,7 +295,7 @@
     }
 
     /// Records the end of a job if it has just reached a final state.
-    fn record_job_end(&self, state: &mut State, id: &JobId, now: Instant) {
+    pub(crate) fn record_job_end(&self, state: &mut State, id: &JobId, now: Instant) {
         let Some(job) = state.jobs.get_mut(id) else {
             return;
         };
@@ -341,6 +343,7 @@
 
     /// Ends all runs on an incarnation of a worker that is guaranteed to be over.
     pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, reason: &str) {
+        self.record_lost_runs(worker);
         let mut lost = Vec::new();
         for (unit, run, assignment) in self.state.borrow().assignments_on(worker) {
             if assignment.state != AssignmentState::Ended {
@@ -411,6 +414,7 @@
         };
         let mut is_changed = false;
         for ended in live.runs.extract_if(.., |run| run.has_ended()) {
+            live.last_run_ended_at = Some(clock::now());
             self.runs.remove(unit, &ended);
             self.needs_decision = true;
             let run = ended.run;
--- a/crates/placement/examples/decision_time.rs
+++ b/crates/placement/examples/decision_time.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nutmegwalk_placement::Isolation;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
 use nutmegwalk_placement::plan;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::UnitId;
 
@@ -33,6 +35,7 @@
         accepts_tasks: true,
         slowdown_factor: 1.0,
         leaves_in: None,
+        crash_risk: CrashRisk::Low,
     }
 }
 
@@ -76,6 +79,8 @@
         started_tasks: Vec::new(),
         excluded: Vec::new(),
         allowed: None,
+        crash_risk: CrashRisk::Low,
+        isolation: Isolation::None,
         run_time: Duration::from_secs(2 + u64::from(number % 7)),
         waited: Duration::ZERO,
         time_to_deadline: Duration::from_secs(20),
--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -7,8 +7,10 @@
 
 use crate::Snapshot;
 use crate::WaitingStep;
+use crate::isolation::IsolationRules;
 use crate::profile::FreeResources;
 use nutmegwalk_base::RackId;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::Resources;
 
 /// Slowdown factor at and above which a worker gets no tasks.
@@ -27,18 +29,23 @@
 pub(crate) type TaskLimits = Vec<u32>;
 
 /// Returns how many tasks of a step each worker may still accept, regardless of its free resources.
-pub(crate) fn task_limits(snapshot: &Snapshot, step: &WaitingStep) -> TaskLimits {
+pub(crate) fn task_limits(
+    snapshot: &Snapshot,
+    rules: &IsolationRules,
+    step: &WaitingStep,
+) -> TaskLimits {
     let allowed = |index: usize| {
         if !is_eligible(snapshot, step, index) {
             return 0;
         }
-        step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
+        let by_step = step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
             let started = step
                 .started_tasks
                 .iter()
                 .find(|(worker, _)| *worker == index);
             limit.saturating_sub(started.map_or(0, |(_, count)| *count))
-        })
+        });
+        by_step.min(rules.max_tasks(step, index))
     };
     (0..snapshot.workers.len()).map(allowed).collect()
 }
@@ -234,8 +241,9 @@
     (count > 0 && waves < snapshot.spread_factor).then(|| rack.clone())
 }
 
-/// Assigns tasks to workers: the least slowed-down workers first, and among these the ones with the fewest
-/// resources left after the assignment.
+/// Assigns tasks to workers: the least slowed-down workers first, then the ones whose runs are least likely to crash
+/// them, and among these the ones with the fewest resources left after the assignment. Tasks that may crash their
+/// workers are assigned to the ones with the most resources left instead, which have the least to lose.
 fn assign_tasks(
     snapshot: &Snapshot,
     step: &WaitingStep,
@@ -253,10 +261,19 @@
             .slowdown_factor
             .total_cmp(&snapshot.workers[*b].slowdown_factor);
         let (left_a, left_b) = (leftover(*a), leftover(*b));
-        by_slowdown
-            .then(left_a.accelerators.cmp(&left_b.accelerators))
-            .then(left_a.milli_cores.cmp(&left_b.milli_cores))
-            .then(a.cmp(b))
+        let by_risk = snapshot.workers[*a]
+            .crash_risk
+            .cmp(&snapshot.workers[*b].crash_risk);
+        let by_leftover = left_a
+            .accelerators
+            .cmp(&left_b.accelerators)
+            .then(left_a.milli_cores.cmp(&left_b.milli_cores));
+        let by_leftover = if step.crash_risk > CrashRisk::Low {
+            by_leftover.reverse()
+        } else {
+            by_leftover
+        };
+        by_slowdown.then(by_risk).then(by_leftover).then(a.cmp(b))
     });
     let mut assigned = Vec::with_capacity(tasks as usize);
     for index in order {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod baseline;
 mod fit;
 mod health;
+mod isolation;
 mod leaving;
 mod plan;
 mod preempt;
@@ -20,6 +21,7 @@
 pub use baseline::first_fit;
 pub use health::HealthSettings;
 pub use health::WorkerHealth;
+pub use isolation::Isolation;
 pub use plan::plan;
 pub use run_time::RunTimeEstimates;
 pub use stall::TaskProgress;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -20,6 +20,7 @@
 use crate::fit::find_workers;
 use crate::fit::needs_rack;
 use crate::fit::task_limits;
+use crate::isolation::IsolationRules;
 use crate::leaving::runs_to_move;
 use crate::preempt::VictimSearch;
 use crate::profile::AvailabilityProfile;
@@ -64,6 +65,7 @@
     planned: usize,
     /// Positions in [`Snapshot::running`] of the runs that this decision stops.
     stopped_runs: BTreeSet<usize>,
+    isolation_rules: IsolationRules,
     plan: Plan,
 }
 
@@ -100,6 +102,7 @@
                 .collect(),
             planned: 0,
             stopped_runs: moves.iter().copied().collect(),
+            isolation_rules: IsolationRules::new(snapshot),
             plan: Plan {
                 moves,
                 ..Plan::default()
@@ -112,10 +115,15 @@
         let step = &self.snapshot.waiting[index];
         let mut remaining = RemainingTasks {
             tasks: step.count(),
-            task_limits: task_limits(self.snapshot, step),
+            task_limits: task_limits(self.snapshot, &self.isolation_rules, step),
         };
         let Some(locality) = self.best_locality(step, &remaining) else {
-            self.record_wait(index, remaining.tasks, WaitReason::NeverFits, None);
+            let reason = if self.isolation_rules.restrict(step) {
+                WaitReason::Isolated
+            } else {
+                WaitReason::NeverFits
+            };
+            self.record_wait(index, remaining.tasks, reason, None);
             return;
         };
         self.start(index, &mut remaining, locality);
@@ -211,6 +219,9 @@
             step: index,
             assignments: assignments.collect(),
         });
+        for worker in workers {
+            self.isolation_rules.record_placed(step, *worker);
+        }
         remaining.remove_placed(workers);
     }
 
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use crate::Isolation;
 use crate::profile::STOP_TIME;
 use nutmegwalk_base::DataCentreId;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::RackId;
 use nutmegwalk_base::ServiceId;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::Occurrence;
 use nutmegwalk_workload::Priority;
 use nutmegwalk_workload::Resources;
@@ -37,6 +39,8 @@
     pub slowdown_factor: f64,
     /// Time until the worker leaves, if it has announced that.
     pub leaves_in: Option<Duration>,
+    /// Highest risk among the runs on the worker that one of them crashes it.
+    pub crash_risk: CrashRisk,
 }
 
 impl WorkerView {
@@ -82,6 +86,10 @@
     pub excluded: Vec<usize>,
     /// The only workers that may be used, if the queue's policy restricts them.
     pub allowed: Option<Vec<usize>>,
+    /// Risk that the tasks crash the workers that start them.
+    pub crash_risk: CrashRisk,
+    /// Where the tasks may be placed with regard to other runs.
+    pub isolation: Isolation,
     /// Expected run time of a task on a healthy worker.
     pub run_time: Duration,
     /// Time since the first of the tasks became ready to start.
@@ -188,6 +196,8 @@
     Planned,
     /// No future placement was computed, since too many more urgent steps wait.
     NotEvaluated,
+    /// The tasks may crash their workers, and no worker is available on which that does little harm.
+    Isolated,
 }
 
 impl WaitReason {
@@ -198,6 +208,7 @@
             Self::NeverFits => "never_fits",
             Self::Planned => "planned",
             Self::NotEvaluated => "behind",
+            Self::Isolated => "isolated",
         }
     }
 }
--- a/crates/placement/tests/common/load.rs
+++ b/crates/placement/tests/common/load.rs
@@ -11,11 +11,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use nutmegwalk_placement::Isolation;
 use nutmegwalk_placement::Plan;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::UnitId;
 
@@ -475,6 +477,7 @@
             accepts_tasks: true,
             slowdown_factor: 1.0,
             leaves_in: None,
+            crash_risk: CrashRisk::Low,
         };
         let mut snapshot = Snapshot {
             workers: (0..scenario.racks * scenario.workers_per_rack)
@@ -576,6 +579,8 @@
             started_tasks: started_tasks.into_iter().collect(),
             excluded: Vec::new(),
             allowed: None,
+            crash_risk: CrashRisk::Low,
+            isolation: Isolation::None,
             run_time: seconds(job.estimate_s),
             waited: seconds(self.now_s - job.arrived_s),
             time_to_deadline: seconds(deadline_s - self.now_s),
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -6,10 +6,12 @@
 
 use std::time::Duration;
 
+use nutmegwalk_placement::Isolation;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
+use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::UnitId;
 
@@ -31,6 +33,7 @@
             accepts_tasks: true,
             slowdown_factor: 1.0,
             leaves_in: None,
+            crash_risk: CrashRisk::Low,
         };
         let all = (0..racks).flat_map(|rack| (0..workers).map(move |_| worker(rack)));
         Self {
@@ -108,6 +111,8 @@
         started_tasks: Vec::new(),
         excluded: Vec::new(),
         allowed: None,
+        crash_risk: CrashRisk::Low,
+        isolation: Isolation::None,
         run_time: Duration::from_secs(5),
         waited: Duration::ZERO,
         time_to_deadline: Duration::from_secs(6),
--- a/crates/supervisor/tests/common/mod.rs
+++ b/crates/supervisor/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A worker's announcement and the owner's answer to its agent's report.
 
+#![allow(dead_code, reason = "each test file uses a subset")]
+
 use nutmegwalk_base::Epoch;
 use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_supervisor::ReportAnswer;
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -4,12 +4,15 @@
 //! whole: all tasks of a gang, or a single task. [`JobProgress`] is the durable part of a job's state and changes
 //! only through its methods. It depends neither on the capacity of workers nor on messages.
 
+mod crash;
 mod ids;
 mod policy;
 mod progress;
 mod record;
 mod spec;
 
+pub use crash::CrashHistory;
+pub use crash::CrashRisk;
 pub use ids::Occurrence;
 pub use ids::ParseTaskIdError;
 pub use ids::Run;
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CrashHistory;
+use crate::CrashRisk;
 use crate::JobSpec;
 use crate::Occurrence;
 use crate::Run;
@@ -143,6 +145,9 @@
     /// Runs that may have tasks on workers; more than one only for speculative steps.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub attempts: Vec<Attempt>,
+    /// Workers that crashed while they had a run.
+    #[serde(default, skip_serializing_if = "CrashHistory::is_empty")]
+    pub crash_history: CrashHistory,
 }
 
 /// Progress of a step in one occurrence.
@@ -331,6 +336,7 @@
                 progress.is_done = true;
                 progress.attempts.clear();
                 progress.checkpoint = None;
+                progress.crash_history.clear();
                 self.finish_step(spec, &unit);
                 EndEffect::UnitDone
             }
@@ -354,6 +360,42 @@
         }
     }
 
+    /// Returns the risk that a unit crashes the workers that start it.
+    #[must_use]
+    pub fn crash_risk(&self, unit: &UnitId) -> CrashRisk {
+        self.unit(unit)
+            .map_or(CrashRisk::Low, |unit| unit.crash_history.risk())
+    }
+
+    /// Returns the crash history of a unit; `None` when it was never started or its step is done.
+    pub fn crash_history_mut(&mut self, unit: &UnitId) -> Option<&mut CrashHistory> {
+        let steps = self.occurrences.get_mut(&unit.occurrence)?;
+        let step = steps.get_mut(unit.step as usize)?;
+        let progress = step.units.get_mut(unit_index(unit))?;
+        Some(&mut progress.crash_history)
+    }
+
+    /// Records that a worker has crashed; returns the units of which runs were lost with it.
+    pub fn record_crash(&mut self, job: &str, spec: &JobSpec, worker: &WorkerRef) -> Vec<UnitId> {
+        let mut affected = Vec::new();
+        for (occurrence, steps) in &mut self.occurrences {
+            for (step, progress) in (0..).zip(steps) {
+                let is_gang = spec.step(step).is_some_and(|step| step.is_gang);
+                for (index, unit) in (0..).zip(&mut progress.units) {
+                    if !unit.is_done && unit.crash_history.record_crash(worker) {
+                        affected.push(UnitId {
+                            job: job.into(),
+                            occurrence: *occurrence,
+                            step,
+                            task: (!is_gang).then_some(index),
+                        });
+                    }
+                }
+            }
+        }
+        affected
+    }
+
     /// Removes a run that no longer has tasks on any worker.
     pub fn close_attempt(&mut self, unit: &UnitId, run: Run) {
         let Some(steps) = self.occurrences.get_mut(&unit.occurrence) else {
