Reproduce a start beyond a capacity that has shrunk

A worker that does not guard its capacity is brought over it when a run was decided before the capacity shrank and is ordered after that.

--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -14,6 +14,7 @@
 use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::JobState;
+use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::StepSpec;
 
 /// Starts of a task that crashes each worker that starts it: one fewer than three more after three crashes.
@@ -258,4 +259,41 @@
         domain.wait_for_state("normal", "a", JobState::Completed).await;
         domain.assert_no_violations();
     }
+
+    // Guards against a start that was decided before a worker's capacity shrank and is ordered after that.
+    start_beyond_a_capacity_that_has_shrunk_is_withdrawn => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "first", job(1, 10)).await;
+        domain.wait_for_state("normal", "first", JobState::Completed).await;
+        let worker = &domain.hosts[0].worker;
+        let capacity = worker.capacity.get();
+        domain.store.rejects_progress_writes.set(true);
+        domain.submit("normal", "a", gang(1, 100)).await;
+        compio::time::sleep(Duration::from_millis(500)).await;
+        worker.capacity.set(Resources { accelerators: 4, ..capacity });
+        compio::time::sleep(Duration::from_millis(1_000)).await;
+        domain.store.rejects_progress_writes.set(false);
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        assert!(domain.events.started_runs("a.0.0.0").is_empty(), "the task needs 8 accelerators of 4");
+        worker.capacity.set(capacity);
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        domain.assert_no_violations();
+    }
+
+    // Guards against starts that count on capacity that a worker no longer has, while runs that began before fill it.
+    shrunk_capacity_holds_starts_back_until_it_has_grown => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "running", job(4, 60_000)).await;
+        domain.wait_for_starts("running.0.0.3", 1).await;
+        let worker = &domain.hosts[0].worker;
+        let capacity = worker.capacity.get();
+        worker.capacity.set(Resources { accelerators: 2, ..capacity });
+        compio::time::sleep(Duration::from_millis(1_000)).await;
+        domain.submit("normal", "a", job(1, 100)).await;
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        assert!(domain.events.started_runs("a.0.0.0").is_empty(), "four accelerators of two are in use");
+        worker.capacity.set(capacity);
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        domain.assert_no_violations();
+    }
 }
