Withdraw starts that no longer fit into a worker's capacity

Callers of a worker that does not guard its capacity saw it brought over that: a run decided before the capacity shrank was ordered whenever it was stored or sent again.

Cause: the capacity is checked in the decision only, and a start is carried out later. Change: each report withdraws the starts that the worker has not carried out and that no longer fit beside what runs, is being stopped or is unexpected.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -137,6 +137,8 @@
     RUN_CRASHED_WORKER = "run_crashed_worker";
     /// A worker has an unexpected run and is ordered to stop it.
     RUN_UNWANTED = "run_unwanted";
+    /// The owner stops a run that has not started yet, since its worker no longer has the capacity.
+    START_WITHDRAWN = "start_withdrawn";
     /// A worker has refused to start a task.
     START_REFUSED = "start_refused";
     /// A worker did not answer an order to start a task.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -24,6 +24,7 @@
 mod term;
 mod time;
 mod urgency;
+mod withdraw;
 mod worker;
 
 pub use metrics::DomainMetrics;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -66,6 +66,7 @@
                 );
             }
             self.apply_crashes(&status.crashed);
+            self.withdraw_excess_starts(&status.announcement.worker);
         }
         self.state.borrow_mut().advance_acknowledgements();
         self.flush();
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod run_time;
 mod stall;
 mod view;
+mod withdraw;
 
 pub use baseline::first_fit;
 pub use health::HealthSettings;
@@ -34,3 +35,4 @@
 pub use view::WaitingStep;
 pub use view::WaitingTasks;
 pub use view::WorkerView;
+pub use withdraw::starts_to_withdraw;
