Hold only the runs that end with a crash against their units

record_lost_runs took every run on the worker. It now gets the runs that handle_lost_worker ends, so that a run which is kept is no candidate, whatever handle_lost_worker selects.

--- a/crates/domain/src/crash.rs
+++ b/crates/domain/src/crash.rs
@@ -15,24 +15,35 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
+use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_workload::JobState;
 use nutmegwalk_workload::WorkerRef;
 
 impl Term {
-    /// Records in the jobs' progress which runs are lost with `worker`, in case it has crashed.
-    pub(crate) fn record_lost_runs(&self, worker: &WorkerRef) {
+    /// Records in the jobs' progress that runs are lost with `worker`, in case it has crashed.
+    pub(crate) fn record_lost_runs<'a>(
+        &self,
+        worker: &WorkerRef,
+        ended: impl Iterator<Item = &'a TaskRun> + Clone,
+    ) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let mut lost = Vec::new();
         for (unit, run, assignment) in state.assignments_on(worker) {
-            if may_have_crashed(assignment) {
+            let is_lost = ended
+                .clone()
+                .any(|ended| ended.run == run.run && ended.task == unit.task_id(assignment.index));
+            if is_lost && may_have_crashed(assignment) {
                 let has_lasted = state.jobs.get(&unit.job).is_some_and(|job| {
                     job.step_of(unit).is_lasting && has_worked_for(run, TRIAL_TIME, now)
                 });
                 lost.push((unit.clone(), assignment.index, has_lasted));
             }
         }
+        if lost.is_empty() {
+            return;
+        }
         let was_alone = lost.len() == 1;
         for (unit, index, has_lasted) in lost {
             let Some(job) = state.jobs.get_mut(&unit.job) else {
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -343,7 +343,6 @@
 
     /// Ends all runs on an incarnation of a worker that is guaranteed to be over.
     pub(crate) fn handle_lost_worker(&self, worker: &WorkerRef, reason: &str) {
-        self.record_lost_runs(worker);
         let mut lost = Vec::new();
         for (unit, run, assignment) in self.state.borrow().assignments_on(worker) {
             if assignment.state != AssignmentState::Ended {
@@ -355,6 +354,7 @@
         if !lost.is_empty() {
             warn!(target: event::RUNS_LOST, worker = &*worker.id, born_unix_ms = worker.born_unix_ms, runs = lost.len(); "runs lost: {reason}");
         }
+        self.record_lost_runs(worker, lost.iter().map(|(ended, _)| ended));
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
         }
