--- a/crates/assembly/tests/domain.rs
+++ b/crates/assembly/tests/domain.rs
@@ -221,6 +221,43 @@
         domain.assert_no_violations();
     }
 
+    // Guards against crashes that are not counted since the lease of the worker has lapsed before it is back.
+    crashes_count_although_the_lease_lapsed_before => {
+        let domain = TestDomain::start(4).await;
+        for host in &domain.hosts {
+            host.worker.restart_delay.set(Duration::from_secs(6));
+        }
+        domain.submit("normal", "a", crashing()).await;
+        domain.wait_for_state("normal", "a", JobState::Failed).await;
+        assert!(domain.events.started_runs("a.0.0.0").len() <= MAX_CRASHING_STARTS);
+        domain.assert_no_violations();
+    }
+
+    // Guards against a gang that crashes the workers of its members again and again.
+    gang_that_crashes_its_workers_is_given_up => {
+        let domain = TestDomain::start(3).await;
+        let mut spec = gang(2, 60_000);
+        spec.payload = "work=60000 gang=2 crashes=20".into();
+        domain.submit("normal", "a", spec).await;
+        domain.wait_for_state("normal", "a", JobState::Failed).await;
+        for task in ["a.0.0.0", "a.0.0.1"] {
+            assert!(domain.events.started_runs(task).len() <= MAX_CRASHING_STARTS, "{task}");
+        }
+        domain.assert_no_violations();
+    }
+
+    // Guards against a lasting task, which may fail without a limit, that crashes worker after worker.
+    lasting_task_that_crashes_its_workers_is_given_up => {
+        let domain = TestDomain::start(4).await;
+        let mut spec = crashing();
+        spec.payload = "lasts crashes=20".into();
+        spec.steps[0].is_lasting = true;
+        domain.submit("normal", "a", spec).await;
+        domain.wait_for_state("normal", "a", JobState::Failed).await;
+        assert!(domain.events.started_runs("a.0.0.0").len() <= MAX_CRASHING_STARTS);
+        domain.assert_no_violations();
+    }
+
     // Guards against an owner that starts to count the crashes anew when it takes over.
     crashes_of_workers_are_counted_across_owners => {
         let domain = TestDomain::start(4).await;
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -38,7 +38,7 @@
 const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Startup time of a long-running task, after which it reports 100 percent progress.
 const LONG_RUNNING_STARTUP: Duration = Duration::from_millis(200);
-/// Time after which a worker that a task has crashed is back as a later incarnation.
+/// Initial value of [`EmulatedWorker::restart_delay`].
 const RESTART_DELAY: Duration = Duration::from_millis(800);
 
 /// Static description of a worker.
@@ -133,6 +133,8 @@
     pub faults: WorkerFaults,
     /// State that the worker announces; it does not affect start requests.
     pub state: Cell<WorkerState>,
+    /// Time after which the worker is back as a later incarnation when a task has crashed it.
+    pub restart_delay: Cell<Duration>,
     /// Capacity that the worker announces; it does not affect start requests.
     pub capacity: Cell<Resources>,
 }
@@ -152,6 +154,7 @@
             restart_at: Cell::new(None),
             faults: WorkerFaults::default(),
             state: Cell::new(WorkerState::Ready),
+            restart_delay: Cell::new(RESTART_DELAY),
             capacity,
         });
         let ticking = Rc::downgrade(&worker);
@@ -215,7 +218,7 @@
         });
         if is_crashing {
             self.crash();
-            self.restart_at.set(Some(now + RESTART_DELAY));
+            self.restart_at.set(Some(now + self.restart_delay.get()));
         } else if self.restart_at.get().is_some_and(|at| now >= at) {
             let born_unix_ms = self.incarnation.borrow().worker.born_unix_ms;
             self.restart_as(&format!("{}-{}", self.setup.machine, born_unix_ms + 1));
