--- a/crates/domain/src/crash.rs
+++ b/crates/domain/src/crash.rs
@@ -131,11 +131,11 @@
     }
 }
 
-/// Returns whether a task may have begun on its worker and not ended there.
+/// Returns whether a task is known to have begun on its worker, or may have under an earlier owner.
 fn may_have_crashed(assignment: &Assignment) -> bool {
     match assignment.state {
         AssignmentState::Running | AssignmentState::Inherited => true,
-        // Only an order that the worker did not answer leads to a stop before the run is known to have begun.
+        // A start that was not answered may have been sent to a worker that had crashed before.
         AssignmentState::Ordered | AssignmentState::Unstored | AssignmentState::Ended => false,
     }
 }
