--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -222,6 +222,7 @@
         lapsed_until_ms: None,
         running: Vec::new(),
         ended: Vec::new(),
+        crashed: Vec::new(),
     }
 }
 
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -133,8 +133,12 @@
     RUN_ENDED = "run_ended";
     /// The owner has found that the runs on a worker are lost.
     RUNS_LOST = "runs_lost";
+    /// A worker has crashed while it had a run of this unit.
+    RUN_CRASHED_WORKER = "run_crashed_worker";
     /// A worker has an unexpected run and is ordered to stop it.
     RUN_UNWANTED = "run_unwanted";
+    /// The owner stops a run that has not started yet, since its worker no longer has the capacity.
+    START_WITHDRAWN = "start_withdrawn";
     /// A worker has refused to start a task.
     START_REFUSED = "start_refused";
     /// A worker did not answer an order to start a task.
@@ -149,6 +153,8 @@
     WORKER_SET_ASIDE = "worker_set_aside";
     /// An agent has received the first heartbeat of its worker.
     WORKER_ANNOUNCED = "worker_announced";
+    /// A later incarnation of a worker has started, and the one before had not announced its end.
+    WORKER_CRASHED = "worker_crashed";
     /// A worker has left permanently.
     WORKER_LEFT = "worker_left";
     /// An agent cannot poll its worker.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod capacity;
 mod cleanup;
+mod crash;
 mod directory;
 mod dispatch;
 mod job;
@@ -23,6 +24,7 @@
 mod term;
 mod time;
 mod urgency;
+mod withdraw;
 mod worker;
 
 pub use metrics::DomainMetrics;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -65,6 +65,8 @@
             self.apply_ends(status);
             self.reconcile_runs(status, now);
             self.end_lapsed_runs(report, status);
+            self.apply_crashes(&status.crashed);
+            self.withdraw_excess_starts(&status.announcement.worker);
         }
         self.state.borrow_mut().advance_acknowledgements();
         self.flush();
@@ -133,11 +135,21 @@
     /// Assigns the runs on an incarnation of a worker to its successor with the same id, and stops them.
     fn stop_on_successor(&self, superseded: &WorkerRef, successor: &WorkerRef) {
         let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let moved: Vec<(UnitId, Run, TaskIndex)> = state
+        let moved: Vec<(UnitId, Run, TaskIndex)> = self
+            .state
+            .borrow()
             .assignments_on(superseded)
             .map(|(unit, run, assignment)| (unit.clone(), run.run, assignment.index))
             .collect();
+        let lost: Vec<TaskRun> = moved
+            .iter()
+            .map(|(unit, run, index)| TaskRun {
+                task: unit.task_id(*index),
+                run: *run,
+            })
+            .collect();
+        self.record_lost_runs(superseded, lost.iter());
+        let mut state = self.state.borrow_mut();
         for (unit, run, index) in &moved {
             let job = state.jobs.get_mut(&unit.job);
             if let Some(assignment) = job.and_then(|job| job.assignment_mut(unit, *run, *index)) {
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -82,6 +82,8 @@
     pub(crate) runs: RunIndex,
     pub(crate) directory: AgentDirectory,
     pub(crate) task_capacity: TaskCapacity,
+    /// Crashed workers whose lost runs have been counted.
+    pub(crate) counted_crashes: BTreeSet<WorkerRef>,
     /// Whether something has changed that a decision depends on.
     pub(crate) needs_decision: bool,
     /// Jobs with changed progress that has to be stored.
@@ -293,7 +295,7 @@
     }
 
     /// Records the end of a job if it has just reached a final state.
-    fn record_job_end(&self, state: &mut State, id: &JobId, now: Instant) {
+    pub(crate) fn record_job_end(&self, state: &mut State, id: &JobId, now: Instant) {
         let Some(job) = state.jobs.get_mut(id) else {
             return;
         };
@@ -375,6 +377,7 @@
                 "runs lost: {reason}"
             );
         }
+        self.record_lost_runs(worker, lost.iter().map(|(ended, _)| ended));
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
         }
@@ -436,6 +439,7 @@
         };
         let mut is_changed = false;
         for ended in live.runs.extract_if(.., |run| run.has_ended()) {
+            live.last_run_ended_at = Some(clock::now());
             self.runs.remove(unit, &ended);
             self.needs_decision = true;
             let run = ended.run;
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -7,8 +7,8 @@
 /// Behaviour of a task, parsed from its payload. The payload is a list of tokens separated by spaces:
 /// `work=<ms>` sets the work time, `gang=<tasks>` makes the task work only once that many tasks of its step
 /// have started, `fails=<runs>` makes that many runs fail, `fail` makes every run fail, `saves` enables
-/// checkpoints, `lasts` makes the task run until it is stopped, and `cpu=<milli cores>`, `mem=<megabytes>` and
-/// `gpu=<accelerators>` set what it uses of the worker.
+/// checkpoints, `lasts` makes the task run until it is stopped, `crashes=<ms>` makes the task crash its worker after
+/// that time, and `cpu=<milli cores>`, `mem=<megabytes>` and `gpu=<accelerators>` set what it uses of the worker.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TaskScript {
     /// Time for which the task works at full pace before it ends.
@@ -23,6 +23,8 @@
     pub is_long_running: bool,
     /// Resources that the task uses.
     pub demand: Resources,
+    /// Time after its start at which the task crashes its worker; `None` if it does not.
+    pub crashes_after: Option<Duration>,
 }
 
 impl TaskScript {
@@ -43,6 +45,9 @@
                 "mem" => script.demand.memory_mb = u64::from(number),
                 "gpu" => script.demand.accelerators = u64::from(number),
                 "lasts" => script.is_long_running = true,
+                "crashes" => {
+                    script.crashes_after = Some(Duration::from_millis(u64::from(number)));
+                }
                 _ => {}
             }
         }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod baseline;
 mod fit;
 mod health;
+mod isolation;
 mod leaving;
 mod plan;
 mod preempt;
@@ -16,10 +17,12 @@
 mod run_time;
 mod stall;
 mod view;
+mod withdraw;
 
 pub use baseline::first_fit;
 pub use health::HealthSettings;
 pub use health::WorkerHealth;
+pub use isolation::Isolation;
 pub use plan::plan;
 pub use run_time::RunTimeEstimates;
 pub use stall::TaskProgress;
@@ -32,3 +35,4 @@
 pub use view::WaitingStep;
 pub use view::WaitingTasks;
 pub use view::WorkerView;
+pub use withdraw::starts_to_withdraw;
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -20,6 +20,7 @@
 use crate::RunningTask;
 use crate::TaskRun;
 use crate::WorkerPort;
+use crate::WorkerState;
 use crate::WorkerStatus;
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
@@ -34,6 +35,8 @@
 /// Number of late heartbeats in order, with none accepted between them, after which the last accepted one counts as
 /// wrongly numbered. Fewer may be repetitions that were delayed.
 const MAX_LATE_HEARTBEATS: u32 = 3;
+/// Number of crashed incarnations that are reported to the owner.
+const MAX_CRASHED: usize = 8;
 
 /// Timeouts and intervals of the supervision.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -97,6 +100,8 @@
     pub(crate) lease_limit: Option<Instant>,
     /// Epoch that the worker refused because it has seen a higher one; polls no longer use it.
     refused_epoch: Epoch,
+    /// Last incarnations of the worker that crashed while they were supervised.
+    crashed: Vec<WorkerRef>,
 }
 
 /// State of the current incarnation of the worker.
@@ -302,6 +307,7 @@
             born_unix_ms = announcement.worker.born_unix_ms;
             ""
         );
+        state.record_end_of_incarnation();
         state.worker = Some(SupervisedWorker::new(announcement, now));
         state.refused_epoch = 0;
         self.inner.report_needed.raise();
@@ -339,6 +345,7 @@
             has_lapsed: worker.clock.is_some_and(|clock| clock.has_lapsed(now)),
             running: worker.running.clone(),
             ended: worker.ended.clone(),
+            crashed: state.crashed.clone(),
         })
     }
 
@@ -560,6 +567,25 @@
 }
 
 impl State {
+    /// Records the current incarnation of the worker as crashed if a later one replaces it without notice.
+    fn record_end_of_incarnation(&mut self) {
+        if let Some(ended) = &self.worker
+            && ended.announcement.state == WorkerState::Ready
+        {
+            let worker = ended.worker();
+            info!(target: event::WORKER_CRASHED,
+                worker = &*worker.id,
+                born_unix_ms = worker.born_unix_ms,
+                runs = ended.running.len();
+                ""
+            );
+            if self.crashed.len() == MAX_CRASHED {
+                self.crashed.remove(0);
+            }
+            self.crashed.push(worker.clone());
+        }
+    }
+
     /// Returns a poll request that renews the lease as far as the owner allows.
     pub(crate) fn poll_request(
         &self,
