Go on with a duty whose lease row is of another writer

What callers saw: a lease row that another writer replaced by something that is not a lease row, or by one with the highest epoch or renewal, ended the duty: its owner could not renew, no process could take over, and nothing was scheduled.

Cause: a lease row that cannot be read was an error, which was retried for good. The numbers of a row were increased without a check.

Change: such a row is read as the content of the epoch row, which the last takeover or release wrote in the same transaction as the lease row. The holder goes on with its epoch, and a contender waits for a full lease, because the row may have been renewed since. Without an epoch row it is an error as before.

--- a/crates/lease/src/ownership.rs
+++ b/crates/lease/src/ownership.rs
@@ -30,6 +30,9 @@
 /// Interval at which a release checks whether it is complete.
 const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Largest epoch or renewal of a lease row, far above those that are reached, so that the next one has a number.
+const MAX_NUMBER: u64 = 1 << 53;
+
 /// Contends for the lease of one duty; clones share the lease.
 #[derive(Clone)]
 pub struct Ownership {
@@ -231,14 +234,30 @@
         return Err(Error::new(ErrorKind::Internal, detail));
     };
     let owner = match owner {
-        Some(row) => {
-            let content = serde_json::from_str(&row.value).map_err(|error| {
-                let detail = format!("malformed row {}: {error}", row.key);
-                Error::new(ErrorKind::Internal, detail)
-            })?;
-            Some((content, row.version))
-        }
+        Some(row) => Some((parse_owner(row, epoch.as_ref())?, row.version)),
         None => None,
     };
     Ok((owner, epoch.as_ref().map(|row| row.version)))
 }
+
+/// Decodes the lease row. The row of another writer is replaced by the content of the epoch row, which the last takeover
+/// or release wrote.
+fn parse_owner(row: &Row, epoch_row: Option<&Row>) -> Result<OwnerRow> {
+    let problem = match serde_json::from_str::<OwnerRow>(&row.value) {
+        Ok(content) if content.epoch.max(content.renewal) <= MAX_NUMBER => return Ok(content),
+        Ok(_) => "a number is too large".to_owned(),
+        Err(problem) => problem.to_string(),
+    };
+    let known = epoch_row.and_then(|row| serde_json::from_str::<OwnerRow>(&row.value).ok());
+    match known {
+        Some(known) => Ok(OwnerRow {
+            // The holder may have renewed the lease since.
+            renewed_at_ms: None,
+            ..known
+        }),
+        None => {
+            let detail = format!("malformed row {}: {problem}", row.key);
+            Err(Error::new(ErrorKind::Internal, detail))
+        }
+    }
+}
--- a/crates/lease/tests/ownership.rs
+++ b/crates/lease/tests/ownership.rs
@@ -242,4 +242,33 @@
         table.apply(&Transaction::new().with_delete(owner_key("rezekne")));
         wait_until("holder", || first.epoch().is_some()).await;
     }
+
+    // Guards against a duty that remains without an owner because of a row of another writer.
+    malformed_row_does_not_end_a_duty => {
+        let table = Rc::new(MemoryStore::new());
+        let first = Contender::start(&table, "a");
+        wait_until("first holder", || first.epoch().is_some()).await;
+        let nested = "[".repeat(1_000_000);
+        let numbers = |epoch: u64, renewal: u64| {
+            format!("{{\"epoch\":{epoch},\"holder\":\"x\",\"address\":\"\",\"renewal\":{renewal},\"incarnation\":1}}")
+        };
+        let (large_epoch, large_renewal) = (numbers(u64::MAX, 1), numbers(1, u64::MAX));
+        for value in ["", "nonsense", "{}", "{\"epoch\":1e400}", "{\"epoch\":18446744073709551616}", &nested, &large_epoch, &large_renewal] {
+            table.apply(&Transaction::new().with_put(owner_key("rezekne"), value));
+            wait_until("renewal", || {
+                let row = table.read(&[owner_key("rezekne")]).remove(0);
+                first.epoch() == Some(1) && row.is_some_and(|row| *row.value != *value)
+            }).await;
+        }
+        let second = Contender::start(&table, "b");
+        wait_until("holder seen", || second.ownership.lease_row().is_some()).await;
+        first.crash();
+        table.apply(&Transaction::new().with_put(owner_key("rezekne"), "nonsense"));
+        wait_until("takeover", || {
+            let (one, other) = (first.epoch(), second.epoch());
+            assert!(one.is_none() || other.is_none());
+            other.is_some()
+        }).await;
+        assert_eq!(second.epoch(), Some(2));
+    }
 }
