Limit the nesting of messages between processes

What callers saw: one message with a field that is not known, nested in 1,000,000 levels, overflowed the stack of the thread that decoded it (2 MB, in a debug build) and ended the process. The field is decoded before the message is checked.

Cause: the MessagePack decoder recurses, also for ignored fields, and its own limit of 1,024 levels takes more stack than a thread of 2 MB has in a debug build.

Change: the limit is 64 levels.

--- a/crates/net/src/message.rs
+++ b/crates/net/src/message.rs
@@ -13,6 +13,9 @@
 /// Header that propagates the request id through all processes.
 pub const REQUEST_ID_HEADER: &str = "nutmegwalk-request-id";
 
+/// Maximum nesting of a body. The decoder recurses, and fields that are not known may have any depth.
+const MAX_DEPTH: usize = 64;
+
 /// A request between the system's own processes.
 pub trait Message: DeserializeOwned + Serialize {
     /// The answer to the message.
@@ -41,7 +44,9 @@
 /// # Errors
 /// `bad_request` when the body is malformed.
 pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    rmp_serde::from_slice(body).map_err(|error| {
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(body);
+    deserializer.set_max_depth(MAX_DEPTH);
+    T::deserialize(&mut deserializer).map_err(|error| {
         Error::new(
             ErrorKind::BadRequest,
             format!("malformed message body: {error}"),
