--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -95,6 +95,35 @@
     }
 }
 
+/// Nesting that overflows the stack of a decoder that recurses without a limit.
+const DEEP_NESTING: usize = 1_000_000;
+
+cases! {
+    // Guards against an odd file that ends the process that reads it.
+    odd_files_are_rejected => {
+        let number = |value: &str| format!("{OPERATOR}[data_centres.a]\nregion = \"r\"\nracks.v1 = {{ workers = {value}, shape = {{ cores = 1, memory_mb = 1, accelerators = 1 }} }}\n");
+        for text in [
+            format!("a = {}", "[".repeat(DEEP_NESTING)),
+            format!("a = {}{}", "[".repeat(DEEP_NESTING), "]".repeat(DEEP_NESTING)),
+            format!("a = {}", "{a=".repeat(DEEP_NESTING)),
+            format!("{} = 1", vec!["a"; DEEP_NESTING].join(".")),
+            format!("[{}]", vec!["a"; DEEP_NESTING].join(".")),
+            number("1e400"),
+            number("-1"),
+            number("1.5"),
+            number("nan"),
+            number("18446744073709551616"),
+            number("4294967296"),
+            format!("{OPERATOR}{OPERATOR}"),
+            "\u{0}".to_owned(),
+            "[operators".to_owned(),
+        ] {
+            let error = load_text("desk/nutmegwalk.toml", &text).unwrap_err();
+            assert_eq!(error.kind, ErrorKind::InvalidConfiguration, "{text:.60}");
+        }
+    }
+}
+
 cases! {
     // Guards against example files that are rejected, or whose tokens are not as documented.
     examples_are_valid => {
