--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nutmegwalk_base::Epoch;
+use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_net::Client;
@@ -36,12 +37,16 @@
 use nutmegwalk_workload::WorkerRef;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Incarnation of the agent's process before.
+const ENDED_INCARNATION: Incarnation = 100;
 
 /// An agent without a supervisor.
 pub(crate) struct ScriptedAgent {
     address: SocketAddr,
     client: Client,
     sequence: Cell<u64>,
+    /// Incarnation of the process that the next report comes from.
+    pub(crate) incarnation: Cell<Incarnation>,
     epoch: Cell<Epoch>,
     received: RefCell<Received>,
     /// Reactions to the next messages with starts; the others are carried out.
@@ -77,6 +82,7 @@
             address: server.local_address(),
             client: Client::new("scripted", Secret::new("")).expect("HTTP client"),
             sequence: Cell::new(0),
+            incarnation: Cell::new(1),
             epoch: Cell::new(0),
             received: RefCell::default(),
             reactions: RefCell::default(),
@@ -98,10 +104,27 @@
         worker: WorkerStatus,
     ) -> Result<ReportAnswer> {
         self.sequence.set(self.sequence.get() + 1);
+        self.send_report(owner, self.incarnation.get(), self.sequence.get(), worker)
+            .await
+    }
+
+    /// Sends a report of an earlier process of the agent, which arrives late.
+    pub(crate) async fn report_of_ended_process(&self, owner: SocketAddr, worker: WorkerStatus) {
+        let answer = self.send_report(owner, ENDED_INCARNATION, 1, worker).await;
+        answer.expect("the owner answers");
+    }
+
+    async fn send_report(
+        &self,
+        owner: SocketAddr,
+        incarnation: Incarnation,
+        sequence: u64,
+        worker: WorkerStatus,
+    ) -> Result<ReportAnswer> {
         let report = Report {
             agent: "scripted".into(),
-            incarnation: 1,
-            sequence: self.sequence.get(),
+            incarnation,
+            sequence,
             address: self.address,
             epoch: self.epoch.get(),
             is_eligible: false,
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -5,15 +5,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use common::TestDomain;
 use common::gang;
+use common::job;
 use common::run;
 use common::scripted_agent::ScriptedAgent;
 use common::scripted_agent::ended;
 use common::scripted_agent::first_run;
 use common::scripted_agent::idle_worker;
+use common::scripted_agent::running;
 
+use nutmegwalk_supervisor::TaskRun;
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::EndKind;
 use nutmegwalk_workload::JobState;
@@ -102,4 +106,94 @@
         }
         assert_eq!(agent.ordered_runs(TASK), [1]);
     }
+
+    // Guards against a start on room that the worker no longer has, because a report that an ended process of the agent
+    // had sent arrives last.
+    late_report_of_an_ended_agent_process_does_not_restore_its_view => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "busy", gang(1, 600_000)).await;
+        domain.wait_for_starts("busy.0.0.0", 1).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        let agent = ScriptedAgent::start().await;
+        let late = idle_worker();
+        let mut current = idle_worker();
+        current.announcement.capacity.accelerators = 4;
+        current.announcement.sequence = late.announcement.sequence + 1;
+        agent.incarnation.set(2);
+        agent.report(owner, current.clone()).await;
+        agent.incarnation.set(1);
+        agent.report(owner, late).await;
+        domain.submit("normal", "a", gang(1, 100)).await;
+        domain.submit("normal", "small", job(1, 100)).await;
+        agent.incarnation.set(2);
+        while agent.ordered_runs("small.0.0.0").is_empty() && agent.ordered_runs(TASK).is_empty() {
+            agent.report(owner, current.clone()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(agent.ordered_runs(TASK).is_empty());
+    }
+
+    // Guards against a lapse reported by an ended process of the agent that ends a run begun under its successor.
+    run_outlives_a_late_report_of_a_lapse_by_an_ended_process_of_its_agent => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        agent.report_of_ended_process(owner, lapsed_worker()).await;
+        let end = ended(first_run(TASK), EndKind::Done);
+        agent.report(owner, WorkerStatus { ended: vec![end], ..idle_worker() }).await;
+        domain
+            .wait_until_async("the job completes or its task is ordered again", async || {
+                agent.ordered_runs(TASK) != [1]
+                    || domain.state("normal", "a").await == Ok(JobState::Completed)
+            })
+            .await;
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
+
+    // Guards against a second run beside one that the worker's next incarnation, under the same id, has started.
+    run_listed_by_a_reborn_worker_does_not_start_again_while_it_is_listed => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        domain.cancel("normal", "busy").await;
+        let mut reborn = WorkerStatus { running: vec![running(first_run(TASK))], ..idle_worker() };
+        reborn.announcement.worker.born_unix_ms += 1;
+        let listed_until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < listed_until {
+            agent.report(owner, reborn.clone()).await;
+            assert_eq!(agent.ordered_runs(TASK), [1]);
+            assert_eq!(domain.events.started_runs(TASK), []);
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    // Guards against giving the room of an unexpected run away while its stop is accepted and its end not listed yet.
+    unexpected_run_that_is_being_stopped_keeps_its_room => {
+        let (domain, agent, owner) = place_on_scripted_worker(1, &idle_worker()).await;
+        let unexpected = TaskRun { run: 7, ..first_run(TASK) };
+        let end = ended(first_run(TASK), EndKind::LeaseLapsed);
+        let listed = WorkerStatus { running: vec![running(unexpected.clone())], ended: vec![end], ..idle_worker() };
+        let listed_until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < listed_until {
+            agent.report(owner, listed.clone()).await;
+            assert_eq!(agent.ordered_runs(TASK), [1]);
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.stops().first(), Some(&unexpected));
+        let stopped = WorkerStatus { running: Vec::new(), ..listed };
+        agent.report(owner, stopped).await;
+        domain.wait_until("the task is ordered again", || agent.ordered_runs(TASK) == [1, 2]).await;
+    }
+
+    // Guards against a second run beside one whose order for an incarnation its successor, under the same id, carried out.
+    start_that_reaches_a_reborn_worker_does_not_run_twice => {
+        let domain = TestDomain::start(2).await;
+        // Needs both workers.
+        domain.submit("normal", "busy", gang(2, 10)).await;
+        domain.wait_for_state("normal", "busy", JobState::Completed).await;
+        domain.silence_heartbeats(0);
+        domain.hosts[0].worker.restart_as("i-0");
+        domain.submit("normal", "a", job(12, 3_000)).await;
+        let is_started = || (0..12).any(|task| domain.hosts[0].worker.has_run_of(&format!("a.0.0.{task}")));
+        domain.wait_until("a task of the job starts on the reborn worker", is_started).await;
+        domain.resume_heartbeats(0);
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        assert_eq!(domain.events.violations(), Vec::<String>::new());
+    }
 }
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -18,6 +18,7 @@
 use crate::term::Term;
 use crate::term::as_ms;
 use crate::worker::AgentInfo;
+use crate::worker::REPORT_TIMEOUT;
 use crate::worker::UnexpectedRun;
 use crate::worker::Worker;
 use nutmegwalk_base::clock;
@@ -31,6 +32,9 @@
 use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::Resources;
+use nutmegwalk_workload::Run;
+use nutmegwalk_workload::TaskIndex;
+use nutmegwalk_workload::UnitId;
 use nutmegwalk_workload::WorkerRef;
 
 /// Time for which a report that was sent before a start can still arrive after it.
@@ -67,15 +71,13 @@
         self.answer(report, now)
     }
 
-    /// Records the agent; `None` if a later report of the same incarnation was received before.
+    /// Records the agent; `None` if a later report of it was received before.
     fn record_agent(&self, report: &Report, now: Instant) -> Option<ReportedWorker> {
         let mut state = self.state.borrow_mut();
-        let known = state.agents.get(&report.agent);
-        if known.is_some_and(|known| {
-            known.incarnation == report.incarnation && known.sequence >= report.sequence
-        }) {
+        if state.is_late(report, now) {
             return None;
         }
+        let known = state.agents.get(&report.agent);
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = report
             .worker
@@ -101,13 +103,20 @@
     }
 
     /// Ends the incarnations of workers that `worker` supersedes. Their runs are lost.
+    ///
+    /// Orders name the worker's id only, so an incarnation with the same id may have started runs of the earlier one, or
+    /// start them later. They are stopped there first.
     fn end_superseded_workers(&self, report: &Report, worker: &WorkerRef) {
         for superseded in self.superseded_workers(report, worker) {
-            self.handle_lost_worker(
-                &superseded,
-                Some(report.sequence),
-                "a later incarnation of the worker has started",
-            );
+            if superseded.id == worker.id {
+                self.stop_on_successor(&superseded, worker);
+            } else {
+                self.handle_lost_worker(
+                    &superseded,
+                    Some(report.sequence),
+                    "a later incarnation of the worker has started",
+                );
+            }
             let mut state = self.state.borrow_mut();
             if state
                 .workers
@@ -121,6 +130,26 @@
         }
     }
 
+    /// Assigns the runs on an incarnation of a worker to its successor with the same id, and stops them.
+    fn stop_on_successor(&self, superseded: &WorkerRef, successor: &WorkerRef) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let moved: Vec<(UnitId, Run, TaskIndex)> = state
+            .assignments_on(superseded)
+            .map(|(unit, run, assignment)| (unit.clone(), run.run, assignment.index))
+            .collect();
+        for (unit, run, index) in &moved {
+            let job = state.jobs.get_mut(&unit.job);
+            if let Some(assignment) = job.and_then(|job| job.assignment_mut(unit, *run, *index)) {
+                assignment.move_to_successor(successor.clone(), now);
+            }
+        }
+        drop(state);
+        for (unit, run, _) in moved {
+            self.stop_run(&unit, run);
+        }
+    }
+
     /// Ends the runs that are over because the worker's lease has lapsed since they were assigned.
     fn end_lapsed_runs(&self, report: &Report, status: &WorkerStatus) {
         let worker = &status.announcement.worker;
@@ -170,7 +199,7 @@
                 health: WorkerHealth::new(self.settings.health),
                 orders: Signal::new(),
                 leaves_at: None,
-                unreachable_since: None,
+                undelivered_at: None,
             });
         let was_responsive = entry.is_responsive(now);
         let has_changed = entry.announcement.capacity != status.announcement.capacity
@@ -265,7 +294,13 @@
         for task in &status.running {
             if !state.record_running(worker, task, &self.metrics, listed_at, now) {
                 let demand = state.demand_of(&task.run);
-                unexpected_runs.insert(task.run.clone(), UnexpectedRun { demand });
+                let known = state.workers.get(&worker.id);
+                let known = known.and_then(|known| known.unexpected_runs.get(&task.run));
+                let run = UnexpectedRun {
+                    demand,
+                    stop_accepted_at: known.and_then(|known| known.stop_accepted_at),
+                };
+                unexpected_runs.insert(task.run.clone(), run);
             }
         }
         let is_listed = |run: &TaskRun| {
@@ -342,6 +377,29 @@
 }
 
 impl State {
+    /// Returns whether a later report of the agent, or of a later process of it, was received before.
+    fn is_late(&self, report: &Report, now: Instant) -> bool {
+        let Some(known) = self.agents.get(&report.agent) else {
+            return false;
+        };
+        if known.incarnation == report.incarnation {
+            return known.sequence >= report.sequence;
+        }
+        if now.saturating_duration_since(known.last_report_at) > REPORT_TIMEOUT {
+            return false;
+        }
+        // Incarnations have no order, but the worker's heartbeats do: a new process knows only later ones.
+        report.worker.as_ref().is_some_and(|status| {
+            let announcement = &status.announcement;
+            self.workers
+                .get(&announcement.worker.id)
+                .is_some_and(|worker| {
+                    worker.announcement.worker == announcement.worker
+                        && worker.announcement.sequence >= announcement.sequence
+                })
+        })
+    }
+
     /// Records that a worker has a task of a run; returns false if the run is unexpected there.
     fn record_running(
         &mut self,
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::monitor::STOP_RETRY_INTERVAL;
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::ProcessId;
@@ -15,10 +16,14 @@
 use nutmegwalk_workload::WorkerRef;
 
 /// Time without a report after which a worker gets no new tasks: two report intervals and a margin.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time without an answer from the worker to its agent after which it gets no new tasks.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Time after a failed delivery of orders for which a worker gets no new tasks. Without orders to deliver, only a new
+/// task shows whether its agent can be reached again.
+const DELIVERY_RETRY_INTERVAL: Duration = Duration::from_millis(2_000);
+
 /// An agent that has sent a report.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentInfo {
@@ -37,6 +42,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct UnexpectedRun {
     pub(crate) demand: Resources,
+    /// When the worker accepted the order to stop the run. It still takes room until it is no longer listed.
+    pub(crate) stop_accepted_at: Option<Instant>,
+}
+
+impl UnexpectedRun {
+    /// Returns whether the worker has to be ordered to stop the run.
+    pub(crate) fn needs_stop(&self, now: Instant) -> bool {
+        self.stop_accepted_at
+            .is_none_or(|at| now.saturating_duration_since(at) > STOP_RETRY_INTERVAL)
+    }
 }
 
 /// An incarnation of a worker, as reported by its agent.
@@ -62,8 +77,8 @@
     pub(crate) orders: Signal,
     /// Earliest time at which the worker leaves, if it has announced that.
     pub(crate) leaves_at: Option<Instant>,
-    /// When the delivery of orders first failed; `None` if the last delivery succeeded.
-    pub(crate) unreachable_since: Option<Instant>,
+    /// When the delivery of orders last failed; `None` if the last delivery succeeded.
+    pub(crate) undelivered_at: Option<Instant>,
 }
 
 impl Worker {
@@ -72,7 +87,9 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         age(self.last_report_at) < REPORT_TIMEOUT
             && self.answered_at.is_some_and(|at| age(at) < ANSWER_TIMEOUT)
-            && self.unreachable_since.is_none()
+            && self
+                .undelivered_at
+                .is_none_or(|at| age(at) > DELIVERY_RETRY_INTERVAL)
     }
 
     /// Returns whether the worker's lease is guaranteed to have lapsed, so that no run can be there any more.
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -293,7 +293,11 @@
         let state = self.state.borrow();
         match &state.worker {
             Some(worker) if worker.worker() == addressed && !worker.has_run(run) => {
-                TaskOutcome::Absent
+                if worker.may_have_unlisted_ends {
+                    TaskOutcome::Unknown
+                } else {
+                    TaskOutcome::Absent
+                }
             }
             Some(worker) if worker.worker() == addressed => TaskOutcome::Done,
             _ => TaskOutcome::Refused(Refusal::OtherWorker),
@@ -304,8 +308,7 @@
 /// Returns the outcome of a start that was refused at last. `may_start` tells whether an earlier try may still take
 /// effect.
 fn refused(refusal: Refusal, may_start: bool) -> TaskOutcome {
-    // A worker that has been replaced starts nothing any more.
-    if may_start && refusal != Refusal::OtherWorker {
+    if may_start {
         TaskOutcome::Unknown
     } else {
         TaskOutcome::Refused(refusal)
