Show that a run which ended before its start was repeated runs again

Callers see a task run again after it was done, and the new run may begin while others still count on the end. An agent repeats a start that the worker does not answer. If the run has ended by then, the worker refuses the repeated start because the run is not higher than one that has ended there (`superseded_run`). `Inner::start` in crates/supervisor/src/orders.rs passes that on as a refusal of the run, and the owner places it again.

--- a/crates/assembly/tests/cuts.rs
+++ b/crates/assembly/tests/cuts.rs
@@ -88,6 +88,33 @@
     run(lose_answers_to_all_orders_of_a_run);
 }
 
+/// Loses the answer to a start of which the run ends before the start is repeated.
+async fn lose_answer_to_the_start_of_a_short_run() {
+    let domain = TestDomain::start(1).await;
+    domain.submit("normal", "first", job(1, 20)).await;
+    domain
+        .wait_for_state("normal", "first", JobState::Completed)
+        .await;
+    let faults = &domain.hosts[0].worker.faults;
+    faults.loses_responses.set(true);
+    domain.submit("normal", "a", job(1, 20)).await;
+    domain.wait_for_starts("a.0.0.0", 1).await;
+    // The answer to the poll that lists the end is lost as well.
+    compio::time::sleep(Duration::from_millis(100)).await;
+    faults.loses_responses.set(false);
+    domain
+        .wait_for_state("normal", "a", JobState::Completed)
+        .await;
+    domain.assert_no_violations();
+    assert_eq!(domain.events.started_runs("a.0.0.0").len(), 1);
+}
+
+// Guards against taking the refusal of a repeated start for proof that the run did not start before.
+#[rstest::rstest]
+fn run_that_ended_before_its_start_was_repeated_does_not_run_again() {
+    run(lose_answer_to_the_start_of_a_short_run);
+}
+
 cases! {
     // Guards against ending runs that were ordered after the lapse of a lease that a report of a reconnected host states.
     host_cut_for_longer_than_the_lease_of_its_worker => (1, MAX_LEASE);
