--- a/crates/assembly/tests/deletion.rs
+++ b/crates/assembly/tests/deletion.rs
@@ -29,4 +29,20 @@
         compio::time::sleep(Duration::from_secs(2)).await;
         assert_eq!(domain.events.started_runs("a.0.0.0").len(), 1);
     }
+
+    // Guards against a new job that is cancelled, or never starts, because of the rows of a deleted one under its id.
+    job_under_the_id_of_a_cancelled_and_deleted_one_runs => {
+        let domain = TestDomain::start_with_retention(1, Duration::from_secs(1)).await;
+        domain.submit("normal", "a", job(1, 600_000)).await;
+        domain.wait_for_starts("a.0.0.0", 1).await;
+        domain.cancel("normal", "a").await;
+        domain.store.loses_history_at_deletion.set(true);
+        let accepted = [JobRow::Accepted.key("a")];
+        domain
+            .wait_until("the job is deleted", || domain.store.memory.read(&accepted) == [None])
+            .await;
+        compio::time::sleep(Duration::from_secs(2)).await;
+        domain.wait_until_accepted("normal", "a", job(1, 10)).await;
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+    }
 }
--- a/crates/domain/src/cleanup.rs
+++ b/crates/domain/src/cleanup.rs
@@ -1,5 +1,6 @@
 //! Deletion of jobs whose retention time has passed.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_store::RequestClass;
+use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::TransactionOutcome;
 use nutmegwalk_workload::JobRow;
 
 /// Interval between two checks for jobs to delete.
@@ -20,6 +23,32 @@
 /// Deadline of one deletion.
 const DELETION_DEADLINE: Duration = Duration::from_secs(2);
 
+/// Jobs that were deleted, as long as their rows may still be delivered, with the version of their deletion.
+#[derive(Debug, Default)]
+pub(crate) struct DeletedJobs {
+    versions: BTreeMap<JobId, RowVersion>,
+}
+
+impl DeletedJobs {
+    /// Records that a job was deleted at `version`.
+    fn record(&mut self, id: JobId, version: RowVersion) {
+        self.versions.insert(id, version);
+    }
+
+    /// Returns whether a row of a job that was written at `version` has been deleted. A later row is part of a new job
+    /// under the same id.
+    pub(crate) fn contains(&self, id: &str, version: RowVersion) -> bool {
+        self.versions
+            .get(id)
+            .is_some_and(|deleted_at| version <= *deleted_at)
+    }
+
+    /// Removes the jobs that were deleted up to `version`, when no earlier row is delivered any more.
+    pub(crate) fn remove_until(&mut self, version: RowVersion) {
+        self.versions.retain(|_, deleted_at| *deleted_at > version);
+    }
+}
+
 impl Term {
     /// Deletes the rows of jobs whose retention time has passed, until the task is dropped.
     pub(crate) async fn clean_up(self: Rc<Self>) {
@@ -64,13 +93,17 @@
             .transact(RequestClass::Audit, &transaction, DELETION_DEADLINE)
             .await
         {
-            Ok(_) => {
+            Ok(TransactionOutcome::Committed { version }) => {
                 info!(target: event::JOBS_DELETED, jobs = ids.len(); "");
                 let mut state = self.state.borrow_mut();
                 for id in ids {
                     state.jobs.remove(id);
+                    state.deleted_jobs.record(id.clone(), version);
                 }
             }
+            Ok(TransactionOutcome::Rejected { .. }) => {
+                warn!(target: event::PROGRESS_NOT_STORED, epoch = self.epoch(); "cannot delete ended jobs: another process has become the owner")
+            }
             Err(error) => {
                 warn!(target: event::PROGRESS_NOT_STORED, "cannot delete ended jobs: {error}")
             }
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -24,7 +24,7 @@
 pub(crate) struct JobReplica {
     term: Rc<Term>,
     /// Jobs whose cancellation row arrived before the row of the job itself.
-    early_cancels: RefCell<Vec<JobId>>,
+    early_cancels: RefCell<BTreeSet<JobId>>,
     /// Jobs whose stored progress cannot be read. What they have run is unknown, so they are not started.
     unreadable: RefCell<BTreeSet<JobId>>,
 }
@@ -42,7 +42,7 @@
     fn apply_put(&self, row: &Row) {
         match JobRow::parse(&row.key) {
             Some((id, JobRow::Accepted)) => self.apply_accepted(&id, row),
-            Some((id, JobRow::Cancelled)) => self.apply_cancelled(&id),
+            Some((id, JobRow::Cancelled)) => self.apply_cancelled(&id, row),
             // During a term only this owner writes progress rows.
             Some((_, JobRow::Progress)) => {}
             None => {
@@ -51,9 +51,25 @@
         }
     }
 
-    /// Adds an accepted job, unless it is known.
+    /// Applies the deletion of a row. The jobs themselves are removed by the deletion that this owner makes.
+    fn apply_delete(&self, key: &str) {
+        if let Some((id, JobRow::Cancelled)) = JobRow::parse(key) {
+            self.early_cancels.borrow_mut().remove(&id);
+        }
+    }
+
+    /// Returns whether a row was written before its job was deleted.
+    fn is_deleted(&self, id: &JobId, row: &Row) -> bool {
+        let state = self.term.state.borrow();
+        state.deleted_jobs.contains(id, row.version)
+    }
+
+    /// Adds an accepted job, unless it is known or was deleted.
     fn apply_accepted(&self, id: &JobId, row: &Row) {
-        if self.term.state.borrow().jobs.contains_key(id) || self.unreadable.borrow().contains(id) {
+        if self.term.state.borrow().jobs.contains_key(id)
+            || self.unreadable.borrow().contains(id)
+            || self.is_deleted(id, row)
+        {
             return;
         }
         let record: JobRecord = match serde_json::from_str(&row.value) {
@@ -95,18 +111,21 @@
             state.jobs.insert(id.clone(), job);
             state.needs_decision = true;
         }
-        if self.early_cancels.borrow().contains(id) {
+        if self.early_cancels.borrow_mut().remove(id) {
             self.term.cancel(id);
         }
     }
 
     /// Cancels a job, or records that it has to be cancelled when its row arrives.
-    fn apply_cancelled(&self, id: &JobId) {
+    fn apply_cancelled(&self, id: &JobId, row: &Row) {
+        if self.is_deleted(id, row) {
+            return;
+        }
         let is_known = self.term.state.borrow().jobs.contains_key(id);
         if is_known {
             self.term.cancel(id);
         } else {
-            self.early_cancels.borrow_mut().push(id.clone());
+            self.early_cancels.borrow_mut().insert(id.clone());
         }
     }
 
@@ -153,6 +172,7 @@
 impl Replica for JobReplica {
     fn reset(&self, rows: Vec<Row>) {
         let is_first = !self.term.is_loaded.get();
+        self.early_cancels.borrow_mut().clear();
         let rows_of = |kind: JobRow| {
             rows.iter()
                 .filter_map(move |row| match JobRow::parse(&row.key) {
@@ -168,8 +188,8 @@
                 self.inherit(&id, row);
             }
         }
-        for (id, _) in rows_of(JobRow::Cancelled) {
-            self.apply_cancelled(&id);
+        for (id, row) in rows_of(JobRow::Cancelled) {
+            self.apply_cancelled(&id, row);
         }
         if is_first {
             let state = self.term.state.borrow();
@@ -184,9 +204,17 @@
     }
 
     fn apply(&self, change: Change) {
-        if let Change::Put(row) = change {
-            self.apply_put(&row);
+        match change {
+            Change::Put(row) => self.apply_put(&row),
+            Change::Delete { key, .. } => self.apply_delete(&key),
         }
         self.term.flush();
     }
+
+    fn caught_up(&self) {
+        if let Some(version) = self.term.jobs.version() {
+            let mut state = self.term.state.borrow_mut();
+            state.deleted_jobs.remove_until(version);
+        }
+    }
 }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -14,6 +14,7 @@
 use log::warn;
 
 use crate::capacity::TaskCapacity;
+use crate::cleanup::DeletedJobs;
 use crate::directory::AgentDirectory;
 use crate::job::Assignment;
 use crate::job::AssignmentState;
@@ -74,6 +75,7 @@
 #[derive(Default)]
 pub(crate) struct State {
     pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) deleted_jobs: DeletedJobs,
     /// Current incarnation of each worker.
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) agents: BTreeMap<ProcessId, AgentInfo>,
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -150,6 +150,13 @@
         }
     }
 
+    /// Returns the version up to which the replica is complete; `None` before the first snapshot and while one is
+    /// read. Rows that were deleted up to this version are not delivered again.
+    #[must_use]
+    pub fn version(&self) -> Option<RowVersion> {
+        self.version.get()
+    }
+
     /// Returns the latest instant at which the replica is known to have been current; `None` before the first
     /// snapshot.
     #[must_use]
