Refuse orders for an ended process of the agent

What callers could see: a task runs twice at once. An order that was sent to an agent's process, and arrives after the process was replaced, was carried out by its successor, although the owner may have ended the run since, because of a lapse that the earlier process had reported and that the successor does not know.

Cause: orders name the incarnation of the worker, but not the one of the agent.

Change: orders name the incarnation of the agent's last report, and an agent refuses orders for another one with not_found before anything is done. Orders of an owner of an earlier release, which names none, are carried out as before; an agent of an earlier release ignores the field.

--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -38,6 +38,7 @@
 use nutmegwalk_net::ServerLimits;
 use nutmegwalk_net::spawn_restarting;
 use nutmegwalk_supervisor::Orders;
+use nutmegwalk_supervisor::OrdersAnswer;
 use nutmegwalk_supervisor::PeersAnswer;
 use nutmegwalk_supervisor::PeersRequest;
 use nutmegwalk_supervisor::Report;
@@ -350,12 +351,26 @@
 
     async fn handle_orders(&self, request: &Request) -> Response {
         let result = match request.message::<Orders>(&self.settings.secret) {
-            Ok(orders) => self.supervisor.execute(orders).await,
+            Ok(orders) => self.execute(orders).await,
             Err(error) => Err(error),
         };
         Response::message(&result)
     }
 
+    /// Executes orders for this process. An earlier one may have reported a lapse that this one does not know, and after
+    /// which the orders are void.
+    async fn execute(&self, orders: Orders) -> Result<OrdersAnswer> {
+        // An owner of an earlier release sends zero.
+        if orders.agent_incarnation != 0 && orders.agent_incarnation != self.incarnation {
+            let detail = format!(
+                "the orders are for another process of agent {}",
+                self.settings.name
+            );
+            return Err(Error::new(ErrorKind::NotFound, detail));
+        }
+        self.supervisor.execute(orders).await
+    }
+
     fn handle_peers_request(&self, request: &Request) -> Result<PeersAnswer> {
         request.message::<PeersRequest>(&self.settings.secret)?;
         self.owner.peers()
--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use nutmegwalk_assembly::EntrySettings;
 use nutmegwalk_assembly::Ports;
 use nutmegwalk_assembly::ReportTimings;
+use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
@@ -427,6 +428,11 @@
         self.owner_row()?.address.parse().ok()
     }
 
+    /// Returns the epoch of the agent that owns the domain according to the lease row.
+    pub(crate) fn owner_epoch(&self) -> Option<Epoch> {
+        Some(self.owner_row()?.epoch)
+    }
+
     fn owner_row(&self) -> Option<OwnerRow> {
         let keys = [nutmegwalk_lease::owner_key("test")];
         let row = self.store.memory.read(&keys).into_iter().flatten().next()?;
--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -69,6 +69,8 @@
 struct Received {
     starts: Vec<TaskRun>,
     stops: Vec<TaskRun>,
+    /// Incarnation of the agent in each message.
+    incarnations: Vec<Incarnation>,
 }
 
 impl ScriptedAgent {
@@ -147,6 +149,11 @@
         self.received.borrow().stops.clone()
     }
 
+    /// Returns the incarnation of the agent that each message was for.
+    pub(crate) fn order_incarnations(&self) -> Vec<Incarnation> {
+        self.received.borrow().incarnations.clone()
+    }
+
     fn accept(&self, orders: &Orders, reaction: Reaction) -> OrdersAnswer {
         let mut received = self.received.borrow_mut();
         let done = |run: &TaskRun| StartResult {
@@ -171,6 +178,7 @@
                 .collect(),
             stops: orders.stops.iter().map(done).collect(),
         };
+        received.incarnations.push(orders.agent_incarnation);
         received.starts.extend(starts);
         received.stops.extend(orders.stops.iter().cloned());
         answer
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -145,6 +145,7 @@
         if self.is_superseded() {
             return None;
         }
+        let agent_incarnation = state.agents.get(&known.agent)?.incarnation;
         let mut starts = BTreeMap::new();
         let mut stops: Vec<TaskRun> = known.unexpected_runs.keys().cloned().collect();
         collect_orders(&state, worker, &mut starts, &mut stops);
@@ -158,6 +159,7 @@
         let orders = Orders {
             epoch: self.epoch(),
             worker: worker.clone(),
+            agent_incarnation,
             acknowledged: known.acknowledged,
             starts_expire_ms: permitted_until.map_or(0, |until| self.clock_ms(until)),
             starts: starts.into_values().collect(),
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -167,6 +167,9 @@
     pub epoch: Epoch,
     /// Incarnation of the worker that the orders are for.
     pub worker: WorkerRef,
+    /// Incarnation of the agent whose reports the orders are based on; zero from an owner of an earlier release.
+    #[serde(default)]
+    pub agent_incarnation: Incarnation,
     /// Number up to which the owner has stored the ends, so that the worker may drop them.
     pub acknowledged: u64,
     /// Time on the owner's clock from which `starts` are void, in milliseconds since its term began. The tasks may
--- a/crates/supervisor/tests/orders.rs
+++ b/crates/supervisor/tests/orders.rs
@@ -120,6 +120,7 @@
     Orders {
         epoch: EPOCH,
         worker: worker(),
+        agent_incarnation: 0,
         acknowledged: 0,
         starts_expire_ms,
         starts: vec![StartOrder {
--- a/crates/supervisor/tests/unreadable_entries.rs
+++ b/crates/supervisor/tests/unreadable_entries.rs
@@ -122,6 +122,7 @@
     let orders = Orders {
         epoch: EPOCH,
         worker: worker(),
+        agent_incarnation: 0,
         acknowledged: 0,
         starts_expire_ms: 0,
         starts: Vec::new(),
