--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -147,7 +147,7 @@
                     row_version = version;
                     ""
                 );
-                self.view.record_accepted(id, &record);
+                self.view.record_accepted(id, &record, version);
                 Ok(())
             }
             Ok(TransactionOutcome::Rejected { .. }) => match self.read_job(id, deadline).await? {
--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -1,7 +1,9 @@
 //! View of the jobs in the store, kept up to date from the feed.
 
 use std::cell::RefCell;
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +36,8 @@
     pub customer: Option<CustomerId>,
     /// Queue that the job was submitted to.
     pub queue: Box<str>,
+    /// Version of the accepted row. Earlier rows are of a deleted job under the same id.
+    accepted_version: RowVersion,
     /// Version of the progress row; 0 if none was seen.
     progress_version: RowVersion,
     progress_state: JobState,
@@ -41,12 +45,13 @@
 }
 
 impl CachedJob {
-    /// Creates the state of a job that was just accepted.
+    /// Creates the state of a job that was just accepted, with the version of its row.
     #[must_use]
-    pub fn new(record: &JobRecord) -> Self {
+    pub fn new(record: &JobRecord, accepted_version: RowVersion) -> Self {
         Self {
             customer: record.customer.clone(),
             queue: record.queue.clone(),
+            accepted_version,
             progress_version: 0,
             progress_state: JobState::Pending,
             is_cancelled: false,
@@ -66,6 +71,22 @@
         }
         self.progress_state
     }
+
+    /// Adds what another reading of the rows under the same id has shown, which may be later.
+    fn merge(&mut self, other: Self) {
+        match other.accepted_version.cmp(&self.accepted_version) {
+            Ordering::Less => {}
+            Ordering::Equal => {
+                // A cancellation is deleted only with its job.
+                self.is_cancelled |= other.is_cancelled;
+                if other.progress_version > self.progress_version {
+                    self.progress_version = other.progress_version;
+                    self.progress_state = other.progress_state;
+                }
+            }
+            Ordering::Greater => *self = other,
+        }
+    }
 }
 
 /// View of all jobs that follows their rows in the store; clones share the same state.
@@ -121,8 +142,8 @@
     }
 
     /// Records a job that this process has just accepted, before the feed delivers its row.
-    pub fn record_accepted(&self, id: &str, record: &JobRecord) {
-        self.inner.add_accepted(id, record);
+    pub fn record_accepted(&self, id: &str, record: &JobRecord, version: RowVersion) {
+        self.inner.add_accepted(id, record, version);
     }
 
     /// Records that this process has just cancelled a job, before the feed delivers the row.
@@ -144,11 +165,14 @@
 
 impl Inner {
     /// Adds an accepted job and applies its rows that arrived early.
-    fn add_accepted(&self, id: &str, record: &JobRecord) {
-        self.jobs
-            .borrow_mut()
-            .entry(id.into())
-            .or_insert_with(|| CachedJob::new(record));
+    fn add_accepted(&self, id: &str, record: &JobRecord, version: RowVersion) {
+        let job = CachedJob::new(record, version);
+        match self.jobs.borrow_mut().entry(id.into()) {
+            Entry::Occupied(mut known) => known.get_mut().merge(job),
+            Entry::Vacant(vacant) => {
+                vacant.insert(job);
+            }
+        }
         let early_rows = self.early_rows.borrow_mut().remove(id);
         for row in early_rows.unwrap_or_default() {
             self.apply_put(&row);
@@ -162,7 +186,7 @@
         };
         if kind == JobRow::Accepted {
             match serde_json::from_str::<JobRecord>(&row.value) {
-                Ok(record) => self.add_accepted(&id, &record),
+                Ok(record) => self.add_accepted(&id, &record, row.version),
                 Err(error) => {
                     error!(target: event::ROW_UNREADABLE, job = &*id; "cannot read the row of an accepted job: {error}")
                 }
@@ -175,6 +199,9 @@
             early_rows.entry(id).or_default().push(row.clone());
             return;
         };
+        if row.version < job.accepted_version {
+            return;
+        }
         if kind == JobRow::Cancelled {
             job.is_cancelled = true;
         } else if row.version > job.progress_version {
@@ -192,17 +219,31 @@
 
 impl Replica for Inner {
     fn reset(&self, rows: Vec<Row>) {
-        self.jobs.borrow_mut().clear();
+        let known = self.jobs.take();
         self.early_rows.borrow_mut().clear();
         rows.iter().for_each(|row| self.apply_put(row));
+        // The view may contain what was read or written after the rows were read. Jobs that are not among them are read
+        // from the store when a caller asks for them.
+        let mut jobs = self.jobs.borrow_mut();
+        for (id, known) in known {
+            if let Some(job) = jobs.get_mut(&id) {
+                job.merge(known);
+            }
+        }
     }
 
     fn apply(&self, change: Change) {
         match change {
             Change::Put(row) => self.apply_put(&row),
-            Change::Delete { key, .. } => {
+            Change::Delete { key, version } => {
                 if let Some((id, JobRow::Accepted)) = JobRow::parse(&key) {
-                    self.jobs.borrow_mut().remove(&id);
+                    let mut jobs = self.jobs.borrow_mut();
+                    if jobs
+                        .get(&id)
+                        .is_some_and(|job| job.accepted_version <= version)
+                    {
+                        jobs.remove(&id);
+                    }
                 }
             }
         }
