Keep a new job when the deletion of an earlier one had no answer

What callers saw: a job that was accepted under the id of a deleted one never ran, and its row was deleted, if the answer to the deletion had been lost.

Cause: the owner keeps a job whose deletion has an unknown outcome, takes the row of a new one for that of the job that it knows, and deletes it with the next attempt, which has no condition on what it deletes.

Change: a deletion is conditional on the progress rows that the owner knows; a job whose progress row is gone was deleted before and is only removed. An accepted row that is newer than the stored end of a known job is of a new one, which replaces it; the answer to a deletion that arrives later does not remove the new one. The store's limit of 100 entries in a transaction includes conditions, so 24 jobs instead of 30 are deleted at a time, every 12 s instead of 15 s, which is the same rate.

--- a/crates/assembly/tests/deletion.rs
+++ b/crates/assembly/tests/deletion.rs
@@ -45,4 +45,23 @@
         domain.wait_until_accepted("normal", "a", job(1, 10)).await;
         domain.wait_for_state("normal", "a", JobState::Completed).await;
     }
+
+    // Guards against an accepted job that is deleted, because the answer to the deletion of an earlier one was lost.
+    job_accepted_after_a_deletion_without_an_answer_is_not_deleted => {
+        let domain = TestDomain::start_with_retention(1, Duration::from_secs(1)).await;
+        domain.submit("normal", "a", job(1, 10)).await;
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        domain.store.loses_answers_of_deletions.set(true);
+        let accepted = [JobRow::Accepted.key("a")];
+        domain
+            .wait_until("the job is deleted", || domain.store.memory.read(&accepted) == [None])
+            .await;
+        // The deletion is repeated until its deadline.
+        compio::time::sleep(Duration::from_secs(3)).await;
+        domain.store.loses_answers_of_deletions.set(false);
+        domain.submit("normal", "a", job(1, 600_000)).await;
+        assert!(domain.store.memory.read(&accepted)[0].is_some());
+        domain.wait_for_starts("a.0.0.0", 2).await;
+        assert!(domain.store.memory.read(&accepted)[0].is_some());
+    }
 }
--- a/crates/domain/src/cleanup.rs
+++ b/crates/domain/src/cleanup.rs
@@ -11,15 +11,17 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
+use nutmegwalk_store::Condition;
 use nutmegwalk_store::RequestClass;
 use nutmegwalk_store::RowVersion;
+use nutmegwalk_store::Transaction;
 use nutmegwalk_store::TransactionOutcome;
 use nutmegwalk_workload::JobRow;
 
 /// Interval between two checks for jobs to delete.
-const CLEANUP_INTERVAL: Duration = Duration::from_secs(15);
-/// Maximum number of jobs deleted in one transaction; each job has three rows.
-const JOBS_PER_DELETION: usize = 30;
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(12);
+/// Maximum number of jobs deleted in one transaction; each job has three rows and a condition.
+const JOBS_PER_DELETION: usize = 24;
 /// Deadline of one deletion.
 const DELETION_DEADLINE: Duration = Duration::from_secs(2);
 
@@ -31,8 +33,9 @@
 
 impl DeletedJobs {
     /// Records that a job was deleted at `version`.
-    fn record(&mut self, id: JobId, version: RowVersion) {
-        self.versions.insert(id, version);
+    pub(crate) fn record(&mut self, id: JobId, version: RowVersion) {
+        let deleted_at = self.versions.entry(id).or_default();
+        *deleted_at = version.max(*deleted_at);
     }
 
     /// Returns whether a row of a job that was written at `version` has been deleted. A later row is part of a new job
@@ -81,9 +84,17 @@
     }
 
     /// Deletes the rows of jobs in one transaction that is fenced by the epoch.
+    ///
+    /// It is conditional on the progress rows, since the answer to an earlier attempt may have been lost, and a new job
+    /// may have been accepted under the id since.
     async fn delete(&self, ids: &[JobId]) {
         let mut transaction = self.ownership.fence(&self.held);
-        for id in ids {
+        let stored: Vec<_> = ids.iter().map(|id| (id, self.stored_version(id))).collect();
+        for (id, stored_version) in &stored {
+            transaction = match *stored_version {
+                Some(version) => transaction.with_version(JobRow::Progress.key(id), version),
+                None => transaction.with_absent(JobRow::Progress.key(id)),
+            };
             for row in [JobRow::Accepted, JobRow::Cancelled, JobRow::Progress] {
                 transaction = transaction.with_delete(row.key(id));
             }
@@ -95,18 +106,57 @@
         {
             Ok(TransactionOutcome::Committed { version }) => {
                 info!(target: event::JOBS_DELETED, jobs = ids.len(); "");
-                let mut state = self.state.borrow_mut();
-                for id in ids {
-                    state.jobs.remove(id);
-                    state.deleted_jobs.record(id.clone(), version);
+                for (id, stored_version) in stored {
+                    self.remove_deleted(id, stored_version, version);
                 }
             }
-            Ok(TransactionOutcome::Rejected { .. }) => {
-                warn!(target: event::PROGRESS_NOT_STORED, epoch = self.epoch(); "cannot delete ended jobs: another process has become the owner")
+            Ok(TransactionOutcome::Rejected { failed_conditions }) => {
+                self.remove_deleted_before(&stored, &transaction, &failed_conditions);
             }
             Err(error) => {
                 warn!(target: event::PROGRESS_NOT_STORED, "cannot delete ended jobs: {error}")
             }
         }
     }
+
+    fn stored_version(&self, id: &JobId) -> Option<RowVersion> {
+        let state = self.state.borrow();
+        state.jobs.get(id)?.stored_version
+    }
+
+    /// Removes the jobs whose progress rows are gone, so that an earlier deletion has taken effect.
+    fn remove_deleted_before(
+        &self,
+        stored: &[(&JobId, Option<RowVersion>)],
+        transaction: &Transaction,
+        failed: &[usize],
+    ) {
+        let failed_keys: Vec<&str> = failed
+            .iter()
+            .filter_map(|index| transaction.conditions.get(*index))
+            .map(|condition| match condition {
+                Condition::Absent { key } | Condition::Version { key, .. } => &**key,
+            })
+            .collect();
+        let is_gone = |id: &JobId| failed_keys.contains(&&*JobRow::Progress.key(id));
+        let gone: Vec<_> = stored.iter().filter(|(id, _)| is_gone(id)).collect();
+        if gone.len() < failed_keys.len() {
+            warn!(target: event::PROGRESS_NOT_STORED, epoch = self.epoch(); "cannot delete ended jobs: another process has become the owner");
+            return;
+        }
+        for (id, stored_version) in gone {
+            // The progress row was written last.
+            self.remove_deleted(id, *stored_version, stored_version.unwrap_or_default());
+        }
+    }
+
+    /// Removes a job whose rows were deleted, unless a later one under its id has replaced it meanwhile.
+    fn remove_deleted(&self, id: &JobId, stored_version: Option<RowVersion>, version: RowVersion) {
+        let mut state = self.state.borrow_mut();
+        let known = state.jobs.get(id);
+        if known.is_some_and(|job| job.stored_version == stored_version) {
+            state.jobs.remove(id);
+        }
+        state.deleted_jobs.record(id.clone(), version);
+    }
 }
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -64,8 +64,26 @@
         state.deleted_jobs.contains(id, row.version)
     }
 
+    /// Removes an ended job if the row is of a later one under the same id: the answer to its deletion was lost.
+    fn remove_replaced(&self, id: &JobId, row: &Row) {
+        let mut state = self.term.state.borrow_mut();
+        let Some(job) = state.jobs.get(id) else {
+            return;
+        };
+        let Some(stored_version) = job.stored_version else {
+            return;
+        };
+        let has_runs = job.units.values().any(|unit| !unit.runs.is_empty());
+        if stored_version < row.version && job.ended_at.is_some() && !has_runs {
+            state.jobs.remove(id);
+            // The progress row was written last.
+            state.deleted_jobs.record(id.clone(), stored_version);
+        }
+    }
+
     /// Adds an accepted job, unless it is known or was deleted.
     fn apply_accepted(&self, id: &JobId, row: &Row) {
+        self.remove_replaced(id, row);
         if self.term.state.borrow().jobs.contains_key(id)
             || self.unreadable.borrow().contains(id)
             || self.is_deleted(id, row)
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -41,6 +41,8 @@
     pub loses_history_at_deletion: Rc<Cell<bool>>,
     /// Whether such a deletion is in progress.
     is_deleting: Rc<Cell<bool>>,
+    /// Deletions take effect, but their answers are lost, while this is set.
+    pub loses_answers_of_deletions: Rc<Cell<bool>>,
     /// Requests on this connection are never answered.
     is_closed: Rc<Cell<bool>>,
 }
@@ -119,7 +121,12 @@
             if is_deletion && self.loses_history_at_deletion.take() {
                 self.lose_history().await;
             }
-            Ok(self.memory.apply(transaction))
+            let outcome = self.memory.apply(transaction);
+            if is_deletion && self.loses_answers_of_deletions.get() {
+                let detail = "the answer to a deletion was lost";
+                return Err(Error::new(ErrorKind::StoreUnknown, detail));
+            }
+            Ok(outcome)
         }
         .boxed_local()
     }
