Give tasks again to a worker whose last order had no answer

What callers saw: a job waits although a worker is free. A worker to which an order could not be delivered got no tasks any more, if no order was left when its agent answered again, for example after a restart of the agent or when the run had ended meanwhile.

Cause: such a worker counts as unreachable until orders are delivered, and without tasks there are none.

Change: the owner sends empty orders to a worker that it could not reach, until they are answered.

Before: worker_whose_last_order_was_not_answered_gets_tasks_again, which is new, FAILED (no order within 20 s); after: all 5 pass.

--- a/crates/assembly/tests/repeated_orders.rs
+++ b/crates/assembly/tests/repeated_orders.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use common::TestDomain;
 use common::gang;
@@ -18,6 +19,10 @@
 use nutmegwalk_workload::EndKind;
 use nutmegwalk_workload::JobState;
 
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
+}
+
 /// The only task of job `a`.
 const TASK: &str = "a.0.0.0";
 
@@ -64,3 +69,38 @@
         .await;
     assert!(agent.ordered_runs(TASK).iter().all(|run| *run == 1));
 }
+
+cases! {
+    // Guards against a worker that gets no tasks any more, because no order was left when its agent answered again.
+    worker_whose_last_order_was_not_answered_gets_tasks_again => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "busy", gang(1, 600_000)).await;
+        domain.wait_for_starts("busy.0.0.0", 1).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        let agent = ScriptedAgent::start().await;
+        agent.reactions.borrow_mut().push_back(Reaction::LoseAnswer);
+        agent.report(owner, idle_worker()).await;
+        domain.submit("normal", "a", gang(1, 1_000)).await;
+        while agent.ordered_runs(TASK).is_empty() {
+            agent.report(owner, idle_worker()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let end = ended(first_run(TASK), EndKind::Done);
+        let last = WorkerStatus { ended: vec![end], ..idle_worker() };
+        agent.report(owner, last).await;
+        domain.wait_for_state("normal", "a", JobState::Completed).await;
+        // The order times out.
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(3) {
+            agent.report(owner, idle_worker()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        domain.submit("normal", "b", gang(1, 1_000)).await;
+        let started = Instant::now();
+        while agent.ordered_runs("b.0.0.0").is_empty() {
+            assert!(started.elapsed() < Duration::from_secs(20), "no order");
+            agent.report(owner, idle_worker()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -166,8 +166,11 @@
             stops,
             paces: Vec::new(),
         };
-        // An acknowledgement alone is sent with the answer to the next report.
-        let is_empty = orders.starts.is_empty() && orders.stops.is_empty();
+        // An acknowledgement alone is sent with the answer to the next report, unless it has to show that orders can be
+        // delivered again.
+        let is_empty = orders.starts.is_empty()
+            && orders.stops.is_empty()
+            && known.unreachable_since.is_none();
         Some(((!is_empty).then_some(orders), signal))
     }
 
