--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -88,7 +88,7 @@
         };
         let is_answered = match result {
             Ok(answer) => {
-                let is_usable_again = known.undelivered_at.take().is_some();
+                let is_usable_again = known.unreachable_since.take().is_some();
                 state.needs_decision |= is_usable_again;
                 drop(state);
                 self.apply_results(worker, &answer);
@@ -98,7 +98,8 @@
                 !answer.stops.iter().any(is_open)
             }
             Err(error) => {
-                let is_first = known.undelivered_at.replace(clock::now()).is_none();
+                let is_first = known.unreachable_since.is_none();
+                known.unreachable_since.get_or_insert_with(clock::now);
                 if is_first {
                     warn!(target: event::ORDERS_NOT_GIVEN, worker = &*worker.id, agent = &*known.agent; "cannot send orders: {error}");
                 }
@@ -146,6 +147,7 @@
         if self.is_superseded() {
             return None;
         }
+        let agent_incarnation = state.agents.get(&known.agent)?.incarnation;
         let mut starts = BTreeMap::new();
         let now = clock::now();
         let mut stops: Vec<TaskRun> = known
@@ -165,14 +167,18 @@
         let orders = Orders {
             epoch: self.epoch(),
             worker: worker.clone(),
+            agent_incarnation,
             acknowledged: known.acknowledged,
             starts_expire_ms: permitted_until.map_or(0, |until| self.clock_ms(until)),
             starts: starts.into_values().collect(),
             stops,
             paces: Vec::new(),
         };
-        // An acknowledgement alone is sent with the answer to the next report.
-        let is_empty = orders.starts.is_empty() && orders.stops.is_empty();
+        // An acknowledgement alone is sent with the answer to the next report, unless it has to show that orders can be
+        // delivered again.
+        let is_empty = orders.starts.is_empty()
+            && orders.stops.is_empty()
+            && known.unreachable_since.is_none();
         Some(((!is_empty).then_some(orders), signal))
     }
 
