Place no tasks on a worker before the owner has granted its lease

What callers could see: a task runs twice at once (TWICE), after a worker was reborn while the owner could not renew its own lease.

Cause: the entry of a new incarnation starts with a lease that is over, and the answer to its report extends it only while the owner's own lease is valid. Once that was valid again, tasks were placed there before the next report; the agent could still renew under the limit of the incarnation before and started them, and the owner took the lease for lapsed.

Change: a worker whose lease is over on the owner's clock gets no tasks.

Evidence: worker_gets_no_tasks_before_the_owner_has_granted_its_lease failed before: an order within 2 s without a report. The scripted agent answers requests that are not for it with 404.

--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -187,7 +187,9 @@
 
 impl Handler for ScriptedAgent {
     async fn handle(self: Rc<Self>, request: Request) -> Response {
-        assert_eq!(&*request.path, Orders::PATH);
+        if &*request.path != Orders::PATH {
+            return Response::new(404, "");
+        }
         let orders = match request.message::<Orders>(&Secret::new("")) {
             Ok(orders) => orders,
             Err(error) => return Response::error(&error),
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use common::TestDomain;
+use common::WORKER_LEASE;
 use common::gang;
 use common::job;
 use common::run;
@@ -21,6 +22,7 @@
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::EndKind;
 use nutmegwalk_workload::JobState;
+use nutmegwalk_workload::Resources;
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() { run(|| async $body) })* };
@@ -196,4 +198,36 @@
         domain.wait_for_state("normal", "a", JobState::Completed).await;
         assert_eq!(domain.events.violations(), Vec::<String>::new());
     }
+
+    // Guards against a run on a worker whose lease the owner could not grant, and which it takes for lapsed.
+    worker_gets_no_tasks_before_the_owner_has_granted_its_lease => {
+        let domain = TestDomain::start(1).await;
+        domain.submit("normal", "busy", gang(1, 600_000)).await;
+        domain.wait_for_starts("busy.0.0.0", 1).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        domain.submit("normal", "a", gang(1, 1_000)).await;
+        // Leases that an earlier owner could have granted are over.
+        compio::time::sleep(WORKER_LEASE).await;
+        let agent = ScriptedAgent::start().await;
+        domain.store.is_down.set(true);
+        let mut without_room = idle_worker();
+        without_room.announcement.worker.id = "i-without-room".into();
+        without_room.announcement.worker.born_unix_ms -= 1;
+        without_room.announcement.capacity = Resources::default();
+        domain
+            .wait_until_async("the owner cannot grant leases", async || {
+                let answer = agent.try_report(owner, without_room.clone()).await;
+                answer.expect("the owner answers").hold_for_ms == 0
+            })
+            .await;
+        agent.report(owner, idle_worker()).await;
+        domain.store.is_down.set(false);
+        compio::time::sleep(Duration::from_secs(2)).await;
+        assert!(agent.ordered_runs(TASK).is_empty());
+        while agent.ordered_runs(TASK).is_empty() {
+            agent.report(owner, idle_worker()).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(agent.ordered_runs(TASK), [1]);
+    }
 }
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -79,11 +79,13 @@
 }
 
 impl Worker {
-    /// Returns whether the agent has reported and the worker has answered recently, and orders can be delivered.
+    /// Returns whether the agent has reported and the worker has answered recently, the owner has granted its lease, and
+    /// orders can be delivered.
     pub(crate) fn is_responsive(&self, now: Instant) -> bool {
         let age = |at: Instant| now.saturating_duration_since(at);
         age(self.last_report_at) < REPORT_TIMEOUT
             && self.answered_at.is_some_and(|at| age(at) < ANSWER_TIMEOUT)
+            && !self.is_lease_expired(now)
             && self.unreachable_since.is_none()
     }
 
