Split the state of a worker and superseded incarnations off large files

Moves only: supervised_worker.rs holds the state of the current incarnation, superseded.rs what happens when a later one replaces it. No logic changes.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -21,6 +21,7 @@
 mod run_index;
 mod settings;
 mod snapshot;
+mod superseded;
 mod term;
 mod time;
 mod urgency;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -1,7 +1,6 @@
 //! Handling of the agents' reports.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,9 +31,6 @@
 use nutmegwalk_supervisor::WorkerState;
 use nutmegwalk_supervisor::WorkerStatus;
 use nutmegwalk_workload::Resources;
-use nutmegwalk_workload::Run;
-use nutmegwalk_workload::TaskIndex;
-use nutmegwalk_workload::UnitId;
 use nutmegwalk_workload::WorkerRef;
 
 /// Time for which a report that was sent before a start can still arrive after it.
@@ -104,64 +100,6 @@
         Some(reported)
     }
 
-    /// Ends the incarnations of workers that `worker` supersedes. Their runs are lost.
-    ///
-    /// Orders name the worker's id only, so an incarnation with the same id may have started runs of the earlier one, or
-    /// start them later. They are stopped there first.
-    fn end_superseded_workers(&self, report: &Report, worker: &WorkerRef) {
-        for superseded in self.superseded_workers(report, worker) {
-            if superseded.id == worker.id {
-                self.stop_on_successor(&superseded, worker);
-            } else {
-                self.handle_lost_worker(
-                    &superseded,
-                    Some(report.sequence),
-                    "a later incarnation of the worker has started",
-                );
-            }
-            let mut state = self.state.borrow_mut();
-            if state
-                .workers
-                .get(&superseded.id)
-                .is_some_and(|known| known.announcement.worker == superseded)
-            {
-                state.workers.remove(&superseded.id);
-                state.task_capacity.clear();
-                state.needs_decision = true;
-            }
-        }
-    }
-
-    /// Assigns the runs on an incarnation of a worker to its successor with the same id, and stops them.
-    fn stop_on_successor(&self, superseded: &WorkerRef, successor: &WorkerRef) {
-        let now = clock::now();
-        let moved: Vec<(UnitId, Run, TaskIndex)> = self
-            .state
-            .borrow()
-            .assignments_on(superseded)
-            .map(|(unit, run, assignment)| (unit.clone(), run.run, assignment.index))
-            .collect();
-        let lost: Vec<TaskRun> = moved
-            .iter()
-            .map(|(unit, run, index)| TaskRun {
-                task: unit.task_id(*index),
-                run: *run,
-            })
-            .collect();
-        self.record_lost_runs(superseded, lost.iter());
-        let mut state = self.state.borrow_mut();
-        for (unit, run, index) in &moved {
-            let job = state.jobs.get_mut(&unit.job);
-            if let Some(assignment) = job.and_then(|job| job.assignment_mut(unit, *run, *index)) {
-                assignment.move_to_successor(successor.clone(), now);
-            }
-        }
-        drop(state);
-        for (unit, run, _) in moved {
-            self.stop_run(&unit, run);
-        }
-    }
-
     /// Ends the runs that are over because the worker's lease has lapsed since they were assigned.
     fn end_lapsed_runs(&self, report: &Report, status: &WorkerStatus) {
         let worker = &status.announcement.worker;
@@ -250,28 +188,6 @@
         }
     }
 
-    /// Returns the incarnations that `worker` supersedes: earlier ones reported by the same agent, and earlier
-    /// ones with the same id or machine that have runs assigned.
-    fn superseded_workers(&self, report: &Report, worker: &WorkerRef) -> Vec<WorkerRef> {
-        let state = self.state.borrow();
-        let known = state
-            .workers
-            .values()
-            .filter(|known| known.agent == report.agent)
-            .map(|known| &known.announcement.worker)
-            .filter(|known| known.born_unix_ms < worker.born_unix_ms);
-        let assigned = state
-            .jobs
-            .values()
-            .flat_map(|job| job.units.values())
-            .flat_map(|unit| &unit.runs)
-            .flat_map(|run| &run.assignments)
-            .map(|assignment| &assignment.worker)
-            .filter(|assigned| assigned.is_superseded_by(worker));
-        let superseded: BTreeSet<&WorkerRef> = known.chain(assigned).collect();
-        superseded.into_iter().cloned().collect()
-    }
-
     /// Applies the reported ends that were not applied before.
     fn apply_ends(self: &Rc<Self>, status: &WorkerStatus) {
         let worker = &status.announcement.worker;
--- /dev/null
+++ b/crates/supervisor/src/supervised_worker.rs
@@ -0,0 +1,169 @@
+//! State of the current incarnation of the worker.
+
+use std::time::Instant;
+
+use log::info;
+
+use crate::Announcement;
+use crate::EndedTask;
+use crate::LeaseClock;
+use crate::MAX_LISTED_ENDS;
+use crate::PollAnswer;
+use crate::RunningTask;
+use crate::TaskRun;
+use crate::supervisor::as_ms;
+use nutmegwalk_base::event;
+use nutmegwalk_workload::WorkerRef;
+
+/// Number of late heartbeats in order, with none accepted between them, after which the last accepted one counts as
+/// wrongly numbered. Fewer may be repetitions that were delayed.
+const MAX_LATE_HEARTBEATS: u32 = 3;
+
+/// State of the current incarnation of the worker.
+#[derive(Debug)]
+pub(crate) struct SupervisedWorker {
+    pub(crate) announcement: Announcement,
+    pub(crate) heartbeat_at: Instant,
+    pub(crate) late_heartbeats: LateHeartbeats,
+    pub(crate) clock: Option<LeaseClock>,
+    pub(crate) answered_at: Option<Instant>,
+    /// Whether the last poll was not answered. Until the next answer, polls do not renew the lease, so that
+    /// it lapses early if the worker has crashed.
+    pub(crate) is_unanswered: bool,
+    /// Whether another incarnation answered the last poll. Any other incarnation that announces itself replaces this
+    /// one then, also an earlier one: this one may never have existed.
+    pub(crate) is_disowned: bool,
+    /// Number up to which the owner has stored the ends.
+    pub(crate) acknowledged: u64,
+    pub(crate) running: Vec<RunningTask>,
+    pub(crate) ended: Vec<EndedTask>,
+    /// Whether the worker may have ends that its last list had no room for.
+    pub(crate) may_have_unlisted_ends: bool,
+    /// Whether the worker's last list had entries that cannot be read.
+    pub(crate) is_incomplete: bool,
+    /// Number up to which the worker may drop ends at most; `None` for no limit.
+    pub(crate) acknowledge_limit: Option<u64>,
+    /// End of the last lease that is known to have lapsed, on the worker's clock, in milliseconds. No start that was
+    /// assigned before the owner knew of this lapse may be sent to the worker.
+    pub(crate) lapsed_until_ms: Option<u64>,
+    /// Runs that were started, with the worker's clock at that time. A list that the worker made earlier
+    /// does not contain them.
+    pub(crate) recent_starts: Vec<(TaskRun, u64)>,
+}
+
+/// Late heartbeats since the last accepted one.
+#[derive(Debug, Default)]
+pub(crate) struct LateHeartbeats {
+    last_sequence: u64,
+    /// Number of heartbeats with increasing numbers.
+    count: u32,
+}
+
+impl LateHeartbeats {
+    /// Records a late heartbeat; returns whether there are enough of them to accept it.
+    pub(crate) fn record(&mut self, sequence: u64) -> bool {
+        if sequence < self.last_sequence {
+            self.count = 0;
+        }
+        if sequence > self.last_sequence || self.count == 0 {
+            self.count += 1;
+        }
+        self.last_sequence = sequence;
+        self.count >= MAX_LATE_HEARTBEATS
+    }
+}
+
+impl SupervisedWorker {
+    pub(crate) fn new(announcement: Announcement, heartbeat_at: Instant) -> Self {
+        Self {
+            announcement,
+            heartbeat_at,
+            late_heartbeats: LateHeartbeats::default(),
+            clock: None,
+            answered_at: None,
+            is_unanswered: false,
+            is_disowned: false,
+            acknowledged: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            may_have_unlisted_ends: false,
+            is_incomplete: false,
+            acknowledge_limit: None,
+            lapsed_until_ms: None,
+            recent_starts: Vec::new(),
+        }
+    }
+
+    pub(crate) fn worker(&self) -> &WorkerRef {
+        &self.announcement.worker
+    }
+
+    /// Returns whether a run is running or among the ends.
+    pub(crate) fn has_run(&self, run: &TaskRun) -> bool {
+        self.running.iter().any(|task| task.run == *run)
+            || self.ended.iter().any(|end| end.run == *run)
+    }
+
+    /// Records the lapse of the lease, if it has lapsed at `now`.
+    pub(crate) fn record_lapse(&mut self, now: Instant) {
+        let Some(clock) = self.clock.filter(|clock| clock.has_lapsed(now)) else {
+            return;
+        };
+        let lapsed_until_ms = Some(clock.lease_until_clock_ms());
+        // The end of the lease goes back when a renewal turns out not to have been sent; a lapse that was reported
+        // stays.
+        if self.lapsed_until_ms < lapsed_until_ms {
+            self.lapsed_until_ms = lapsed_until_ms;
+            info!(target: event::WORKER_LAPSED,
+                worker = &*self.worker().id,
+                lease_until_ms = clock.lease_until_clock_ms(),
+                answer_age_ms = as_ms(clock.time_since_answer(now)),
+                running = self.running.len();
+                ""
+            );
+        }
+    }
+
+    /// Drops the ends that the owner has stored, up to `number`; returns whether `number` is new.
+    pub(crate) fn acknowledge(&mut self, number: u64) -> bool {
+        if number <= self.acknowledged {
+            return false;
+        }
+        self.acknowledged = number;
+        self.ended.retain(|end| end.number > number);
+        true
+    }
+
+    /// Applies the list in an answer; returns whether it should be reported to the owner immediately.
+    pub(crate) fn apply_list(&mut self, answer: PollAnswer) -> bool {
+        let mut running = answer.running;
+        self.recent_starts
+            .retain(|(_, clock_ms)| *clock_ms > answer.clock_ms);
+        let not_listed_yet: Vec<RunningTask> = self
+            .running
+            .iter()
+            .filter(|task| {
+                self.recent_starts.iter().any(|(run, _)| *run == task.run)
+                    && !running.iter().any(|listed| listed.run == task.run)
+            })
+            .cloned()
+            .collect();
+        running.extend(not_listed_yet);
+        self.may_have_unlisted_ends = answer.ended.len() >= MAX_LISTED_ENDS;
+        let ended: Vec<EndedTask> = answer
+            .ended
+            .into_iter()
+            .filter(|end| end.number > self.acknowledged)
+            .collect();
+        let has_changed = ended.iter().any(|end| !self.ended.contains(end))
+            || running.len() != self.running.len()
+            || running
+                .iter()
+                .any(|task| !self.running.iter().any(|known| known.run == task.run));
+        self.running = running;
+        self.ended = ended;
+        self.is_incomplete = answer.is_incomplete;
+        self.acknowledge_limit = answer.acknowledge_limit;
+        has_changed
+    }
+}
