--- a/crates/assembly/tests/agent_incarnation.rs
+++ b/crates/assembly/tests/agent_incarnation.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use common::TestDomain;
-use common::gang;
 use common::job;
 use common::run;
 use common::scripted_agent::ScriptedAgent;
@@ -95,10 +94,7 @@
 
     // Guards against an owner whose orders name no process of the agent, or one that has ended.
     orders_name_the_process_of_the_agent_that_reported_last => {
-        let domain = TestDomain::start(1).await;
-        domain.submit("normal", "busy", gang(1, 600_000)).await;
-        domain.wait_for_starts("busy.0.0.0", 1).await;
-        let owner = domain.owner_address().expect("domain has an owner");
+        let (domain, owner) = TestDomain::start_busy(1).await;
         let agent = ScriptedAgent::start().await;
         agent.incarnation.set(7);
         domain.submit("normal", "a", job(1, 600_000)).await;
--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -228,6 +228,15 @@
         Self::start_with(count, TestLinks::default(), DEFAULT_RETENTION).await
     }
 
+    /// Starts a domain whose hosts are all busy with the job `busy`; returns it with the address of its owner.
+    pub(crate) async fn start_busy(hosts: u32) -> (Self, SocketAddr) {
+        let domain = Self::start(hosts as usize).await;
+        domain.submit("normal", "busy", gang(hosts, 600_000)).await;
+        domain.wait_for_starts("busy.0.0.0", 1).await;
+        let owner = domain.owner_address().expect("domain has an owner");
+        (domain, owner)
+    }
+
     /// Starts a domain that keeps ended jobs for `ended_job_retention`.
     pub(crate) async fn start_with_retention(count: usize, ended_job_retention: Duration) -> Self {
         Self::start_with(count, TestLinks::default(), ended_job_retention).await
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -46,10 +46,7 @@
     hosts: u32,
     lapsed: &WorkerStatus,
 ) -> (TestDomain, Rc<ScriptedAgent>, SocketAddr) {
-    let domain = TestDomain::start(hosts as usize).await;
-    domain.submit("normal", "busy", gang(hosts, 600_000)).await;
-    domain.wait_for_starts("busy.0.0.0", 1).await;
-    let owner = domain.owner_address().expect("domain has an owner");
+    let (domain, owner) = TestDomain::start_busy(hosts).await;
     let agent = ScriptedAgent::start().await;
     agent.report(owner, lapsed.clone()).await;
     domain.submit("normal", "a", gang(1, 1_000)).await;
@@ -112,10 +109,7 @@
     // Guards against a start on room that the worker no longer has, because a report that an ended process of the agent
     // had sent arrives last.
     late_report_of_an_ended_agent_process_does_not_restore_its_view => {
-        let domain = TestDomain::start(1).await;
-        domain.submit("normal", "busy", gang(1, 600_000)).await;
-        domain.wait_for_starts("busy.0.0.0", 1).await;
-        let owner = domain.owner_address().expect("domain has an owner");
+        let (domain, owner) = TestDomain::start_busy(1).await;
         let agent = ScriptedAgent::start().await;
         let late = idle_worker();
         let mut current = idle_worker();
@@ -201,10 +195,7 @@
 
     // Guards against a run on a worker whose lease the owner could not grant, and which it takes for lapsed.
     worker_gets_no_tasks_before_the_owner_has_granted_its_lease => {
-        let domain = TestDomain::start(1).await;
-        domain.submit("normal", "busy", gang(1, 600_000)).await;
-        domain.wait_for_starts("busy.0.0.0", 1).await;
-        let owner = domain.owner_address().expect("domain has an owner");
+        let (domain, owner) = TestDomain::start_busy(1).await;
         domain.submit("normal", "a", gang(1, 1_000)).await;
         // Leases that an earlier owner could have granted are over.
         compio::time::sleep(WORKER_LEASE).await;
--- a/crates/assembly/tests/repeated_orders.rs
+++ b/crates/assembly/tests/repeated_orders.rs
@@ -41,10 +41,7 @@
 }
 
 async fn repeat_and_refuse(refusal: Refusal) {
-    let domain = TestDomain::start(1).await;
-    domain.submit("normal", "busy", gang(1, 600_000)).await;
-    domain.wait_for_starts("busy.0.0.0", 1).await;
-    let owner = domain.owner_address().expect("domain has an owner");
+    let (domain, owner) = TestDomain::start_busy(1).await;
     let agent = ScriptedAgent::start().await;
     agent
         .reactions
@@ -73,10 +70,7 @@
 cases! {
     // Guards against a worker that gets no tasks any more, because no order was left when its agent answered again.
     worker_whose_last_order_was_not_answered_gets_tasks_again => {
-        let domain = TestDomain::start(1).await;
-        domain.submit("normal", "busy", gang(1, 600_000)).await;
-        domain.wait_for_starts("busy.0.0.0", 1).await;
-        let owner = domain.owner_address().expect("domain has an owner");
+        let (domain, owner) = TestDomain::start_busy(1).await;
         let agent = ScriptedAgent::start().await;
         agent.reactions.borrow_mut().push_back(Reaction::LoseAnswer);
         agent.report(owner, idle_worker()).await;
