Send empty orders only to agents that report

A host that is gone for good was sent an empty order every two seconds for as long as the owner's term lasted, because its worker counts as out of reach. Only a worker whose agent reports can be used again, so only these are tried.

--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -176,9 +176,8 @@
         };
         // An acknowledgement alone is sent with the answer to the next report, unless it has to show that orders can be
         // delivered again.
-        let is_empty = orders.starts.is_empty()
-            && orders.stops.is_empty()
-            && known.unreachable_since.is_none();
+        let is_empty =
+            orders.starts.is_empty() && orders.stops.is_empty() && !known.needs_probe(now);
         Some(((!is_empty).then_some(orders), signal))
     }
 
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -89,6 +89,12 @@
             && self.unreachable_since.is_none()
     }
 
+    /// Returns whether empty orders have to show that the agent, which reports, can be reached again.
+    pub(crate) fn needs_probe(&self, now: Instant) -> bool {
+        self.unreachable_since.is_some()
+            && now.saturating_duration_since(self.last_report_at) < REPORT_TIMEOUT
+    }
+
     /// Returns whether the worker's lease is guaranteed to have lapsed, so that no run can be there any more.
     pub(crate) fn is_lease_expired(&self, now: Instant) -> bool {
         now > self.lease_expires_at
