--- a/review/1/play.py
+++ b/review/1/play.py
@@ -12,19 +12,26 @@
 
 DOWN_AFTER_S = 0.3
 DOWN_S = 3.0
+TURNED_AWAY_S = 3.5
 WATCHED_S = 20.0
 
 
 async def play(make, record, trouble):
     job_id = f"{random.getrandbits(64):016x}"
-    site = make(lambda task: (2000, "done", True))
+    site = make(lambda task: (2000, "done"))
     store = site.store
-    turned_away = asyncio.Event()
+    turned_away_at = []
+    polls = {}
     lost_at = []
 
+    def is_turned_away():
+        return bool(turned_away_at) and time.monotonic() - turned_away_at[0] < TURNED_AWAY_S
+
     async def serve_entry(method, path, query, headers, body):
         """The store, as the first entry host sees it."""
-        if turned_away.is_set():
+        if path == "/api/rows-feed":
+            polls[query["table"]] = time.monotonic()
+        if is_turned_away():
             return 503, None
         return await serve(method, path, query, headers, body)
 
@@ -33,7 +40,7 @@
             return 503, None
         is_acceptance = path == "/api/rows-tx" and job_id.encode() in body
         answer = await store.handle(method, path, query, headers, body)
-        if turned_away.is_set() and is_acceptance and not lost_at and answer[0] == 200:
+        if is_turned_away() and is_acceptance and not lost_at and answer[0] == 200:
             lost_at.append(time.monotonic())
             record.write("store: performs the write of the job for another machine; its answer is lost")
             await asyncio.sleep(10)
@@ -50,8 +57,15 @@
         # The entry host asks the owner for the peers that relay its requests every ten seconds.
         await asyncio.sleep(6.0)
         if trouble:
+            # The outage begins between two polls of the host's feeds, which it sends every 0.7 s each.
+            until = time.monotonic() + 5.0
+            while time.monotonic() < until:
+                ages = [time.monotonic() - at for at in polls.values()]
+                if len(ages) == 2 and max(ages) < 0.4:
+                    break
+                await asyncio.sleep(0.005)
             record.write("store: turns the first entry host away with 503")
-            turned_away.set()
+            turned_away_at.append(time.monotonic())
         body = {"spec": "ticket", "steps": [{"count": 1, "cpu": 7500, "memMb": 11000, "gpu": 1, "estimateMs": 2000}]}
         status, _ = await site.call("POST", "/ticket/", job_id, body, entry=0)
         record.write(f"client: POST /ticket/{job_id} -> {status}; it is not sent again")
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -22,7 +22,7 @@
 
     def behaviour(task):
         # 0.5 to 1.7 s each, so that the tasks don't end all at once.
-        return (500 + int(task.split(".")[3]) % 7 * 200 if task.startswith(large_id) else 300), "done", False
+        return (500 + int(task.split(".")[3]) % 7 * 200 if task.startswith(large_id) else 300), "done"
 
     site = make(behaviour)
     await site.start()
--- a/review/2/play_gang.py
+++ b/review/2/play_gang.py
@@ -19,7 +19,7 @@
 async def play(make, record, trouble):
     members = MEMBERS if trouble else SMALL_MEMBERS
     large_id = f"{random.getrandbits(64):016x}"
-    site = make(lambda task: (2000, "done", task.endswith(".0")))
+    site = make(lambda task: (2000, "done"))
     await site.start()
     body = {"spec": "reconcile", "steps": [{"count": members, "cpu": 250, "memMb": 64, "estimateMs": 2000, "gang": True}]}
     _, confirmed_at = await site.submit("/reconcile/", body, job_id=large_id)
--- a/review/2/play_hopeless.py
+++ b/review/2/play_hopeless.py
@@ -45,7 +45,7 @@
 
 async def play(make, record, trouble):
     hopeless_id = f"{random.getrandbits(64):016x}"
-    site = make(lambda task: (300, "done", False))
+    site = make(lambda task: (300, "done"))
     await site.start()
     kills = []
     memory = asyncio.create_task(enforce_memory(site, record, kills))
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -27,8 +27,8 @@
     def behaviour(task):
         job = task.split(".")[0]
         if job == wide_id:
-            return 500, "failed" if trouble else "done", True
-        return (800, "done", True) if job == urgent_id else (300, "done", False)
+            return 500, "failed" if trouble else "done"
+        return (800, "done") if job == urgent_id else (300, "done")
 
     site = make(behaviour)
 
--- a/review/4/play_lasting.py
+++ b/review/4/play_lasting.py
@@ -20,7 +20,7 @@
 
     def behaviour(task):
         runs[task] = runs.get(task, 0) + 1
-        return (4000, "failed", False) if trouble and runs[task] == 1 else (1, "lasting", False)
+        return (4000, "failed") if trouble and runs[task] == 1 else (1, "lasting")
 
     site = make(behaviour)
     await site.start()
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -309,8 +309,8 @@
 class Worker:
     """One machine with its worker.
 
-    `behaviour(task)` gives the work of a task in ms, how it ends, and whether the record has a line for it. A task that
-    ends `lasting` works until it is stopped, and is at work at once.
+    `behaviour(task)` gives the work of a task in ms and how it ends. A task that ends `lasting` works until it is stopped,
+    and is at work at once.
     """
 
     def __init__(self, name, ip, zone, rack, capacity, record, behaviour, gangs, port=8529):
@@ -392,8 +392,7 @@
         self.closed[task] = max(self.closed.get(task, 0), entry["run"])
         self.ended.append([self.end_count, task, entry["run"], how, entry["saved"]])
         self.ends_listed.append((time.monotonic(), task, entry["run"], how))
-        if how != "done" or entry["is_noted"]:
-            self.record.write(f"worker {self.name}: {task} run {entry['run']} ends {how}")
+        self.record.write(f"worker {self.name}: {task} run {entry['run']} ends {how}")
         event, self.ended_event = self.ended_event, asyncio.Event()
         event.set()
 
@@ -475,16 +474,15 @@
             return 200, {"clockMs": self.clock_ms(), "born": self.born}
         if run <= self.closed.get(task, 0) or entry is not None:
             return 409, {"clockMs": self.clock_ms(), "reason": "old", "born": self.born}
-        work_ms, how, is_noted = self.behaviour(task)
+        work_ms, how = self.behaviour(task)
         self.running[task] = {
             "run": run, "since": time.monotonic(), "worked_ms": 0.0, "work_ms": max(work_ms, 1), "how": how,
-            "saved": "", "stop_at": None, "is_noted": is_noted,
+            "saved": "", "stop_at": None,
         }
         if self.gangs.size(task):
             self.gangs.present.setdefault(self.gangs.key(task, run), set()).add(task)
         self.starts.append((time.monotonic(), task, run))
-        if is_noted:
-            self.record.write(f"worker {self.name} ({self.id}) begins {task} run {run}")
+        self.record.write(f"worker {self.name} ({self.id}) begins {task} run {run}")
         if self.on_start is not None:
             self.on_start(self, task, run)
         return 200, {"clockMs": self.clock_ms(), "born": self.born}
@@ -549,6 +547,7 @@
                                  route("reconcile", "/reconcile/", 2, 4, 3.0, 3000)]
         self.tenants = tenants or [{"name": "kaje80", "apiKeys": ["d4a3hwrr6x73d3zji9n7"], "guaranteed": {"gpu": 16}}]
         self.version = 7
+        self.shown = {}
         zones = list(ZONES)
         for index in range(3):
             self.add_entry(index, zones[index])
@@ -655,7 +654,11 @@
         for _ in range(3):
             status, body = await self.call("GET", prefix, job_id, None, key)
             if status in (200, 410):
-                return body.get("state", status)
+                state = body.get("state", status)
+                if self.shown.get(job_id) != state:
+                    self.shown[job_id] = state
+                    self.record.write(f"client: GET {prefix}{job_id} -> {status} {state}")
+                return state
             await asyncio.sleep(0.3)
         return None
 
