Report a relayed write without an answer as of unknown outcome

The caller was told 503, "not run", and the job ran.

Cause: when the direct connection has not executed a request, `RelayedStore` sends it through a peer. An error on that route was replaced by the error of the direct one, so `store_unknown` became `store_unavailable`, the batch noted the write as not applied, and the deadline then answered "nothing was written".

Evidence: `relay_failed`, added here, names both errors.

Change: the error of the route that is less certain is returned. Both routes not run: the direct error, as before, so a caller is still told 503 where nothing can have been written.

Tests: `relayed_write_without_an_answer_has_an_unknown_outcome` failed before (4 passed, 1 failed) and passes; `write_that_no_route_executes_is_reported_as_not_run` guards the other side and passed before.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -51,6 +51,8 @@
     STORE_REGAINED = "store_regained";
     /// A batch of writes is retried.
     STORE_RETRIED = "store_retried";
+    /// The direct connection has not executed a write, and the attempt through peers failed as well.
+    RELAY_FAILED = "relay_failed";
     /// The changes of a collection cannot be followed.
     FEED_LOST = "feed_lost";
     /// The changes of a collection are followed again.
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -41,6 +41,9 @@
     pub loses_history_at_deletion: Rc<Cell<bool>>,
     /// Whether such a deletion is in progress.
     is_deleting: Rc<Cell<bool>>,
+    /// The store is down from the next transaction on, while this is set. The answer to the transaction is lost if it
+    /// has taken effect.
+    pub goes_down_with_next_write: Rc<Cell<bool>>,
     /// Deletions take effect, but their answers are lost, while this is set.
     pub loses_answers_of_deletions: Rc<Cell<bool>>,
     /// Requests on this connection are never answered.
@@ -122,6 +125,13 @@
                 self.lose_history().await;
             }
             let outcome = self.memory.apply(transaction);
+            if self.goes_down_with_next_write.take() {
+                self.is_down.set(true);
+                if matches!(outcome, TransactionOutcome::Committed { .. }) {
+                    let detail = "the answer to a write was lost";
+                    return Err(Error::new(ErrorKind::StoreUnknown, detail));
+                }
+            }
             if is_deletion && self.loses_answers_of_deletions.get() {
                 let detail = "the answer to a deletion was lost";
                 return Err(Error::new(ErrorKind::StoreUnknown, detail));
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -182,8 +182,23 @@
             }
         }
         match inner.send_directly(&request).await {
-            Err(error) if error.kind == ErrorKind::StoreUnavailable => {
-                inner.send_via_peers(&request).await.map_err(|_| error)
+            Err(direct) if direct.kind == ErrorKind::StoreUnavailable => {
+                let relayed = inner.send_via_peers(&request).await;
+                relayed.map_err(|relayed| {
+                    if is_write(&request) {
+                        warn!(target: event::RELAY_FAILED,
+                            direct = direct.kind.name(),
+                            relayed = relayed.kind.name(),
+                            outcome = relayed.outcome().name();
+                            "{relayed}"
+                        );
+                    }
+                    // A peer may have executed a write although this process has no answer.
+                    match relayed.outcome() {
+                        Outcome::NotRun => direct,
+                        Outcome::Done | Outcome::Unknown => relayed,
+                    }
+                })
             }
             result => result,
         }
--- a/crates/relay/tests/relayed_store.rs
+++ b/crates/relay/tests/relayed_store.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::secret::Secret;
 use nutmegwalk_emulator::EmulatedStore;
 use nutmegwalk_net::Client;
@@ -154,6 +155,31 @@
         }
     }
 
+    // Guards against a write that a peer has executed without an answer being reported as not executed.
+    relayed_write_without_an_answer_has_an_unknown_outcome => {
+        let store = EmulatedStore::new();
+        let direct = store.connection();
+        let peer = start_peer(&store).await;
+        let store_under_test = relayed_store(&direct, peer, RelayTimings::default());
+        direct.is_connection_down.set(true);
+        store.goes_down_with_next_write.set(true);
+        let transaction = Transaction::new().with_put("job/1", "{}");
+        let error = store_under_test.transact(&transaction).await.expect_err("the answer is lost");
+        assert!(store.memory.read(&["job/1".into()])[0].is_some());
+        assert_eq!(error.kind, ErrorKind::StoreUnknown);
+    }
+
+    // Guards against callers that are told to ask again although nothing was written on any route.
+    write_that_no_route_executes_is_reported_as_not_run => {
+        let store = EmulatedStore::new();
+        let peer = start_peer(&store).await;
+        let store_under_test = relayed_store(&store, peer, RelayTimings::default());
+        store.is_down.set(true);
+        let transaction = Transaction::new().with_put("job/1", "{}");
+        let error = store_under_test.transact(&transaction).await.expect_err("the store is down");
+        assert_eq!(error.kind, ErrorKind::StoreUnavailable);
+    }
+
     // Guards against admitting callers while no process can reach the store.
     store_that_is_down_is_reported_as_unreachable => {
         let store = EmulatedStore::new();
