Do not answer a repeated submission as not run while the first may have stored the job

What callers could see: the first attempt is answered 504, as the answer of the store was lost. The repetition at the same entry host finds the store down and is answered 503, "the job was not accepted and never runs", although it is stored. The same 503 came when the row of the job existed, since another host had accepted it, and could not be read.

Cause: the entry host judged each attempt by itself. It kept nothing of an attempt of unknown outcome, and took the error of the read after a rejected write for the outcome of the submission.

A job that exists and cannot be read is `store_unknown`. Another host still answers 503 for its own attempt: it cannot know of the first one, and 504 for every call of an outage would take the time of the next attempt from all callers.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -13,6 +13,7 @@
 use crate::metrics::IntakeMetrics;
 use crate::refusal;
 use crate::retry_after;
+use crate::unresolved::UnresolvedSubmissions;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
@@ -61,6 +62,7 @@
     reachability: Rc<dyn Reachability>,
     view: JobView,
     metrics: IntakeMetrics,
+    unresolved: UnresolvedSubmissions,
 }
 
 impl Intake {
@@ -79,6 +81,7 @@
             reachability,
             view,
             metrics,
+            unresolved: UnresolvedSubmissions::default(),
         }
     }
 
@@ -97,7 +100,10 @@
         spec: JobSpec,
         limit: Duration,
     ) -> Result<()> {
-        let result = self.accept(caller, id, spec, limit);
+        let result = async {
+            let result = self.accept(caller, id, spec, limit).await;
+            self.unresolved.resolve(id, result, clock::now())
+        };
         self.with_metrics(Call::Submit, result).await
     }
 
@@ -150,12 +156,16 @@
                 self.view.record_accepted(id, &record, version);
                 Ok(())
             }
-            Ok(TransactionOutcome::Rejected { .. }) => match self.read_job(id, deadline).await? {
-                Some(known) => self.check_resubmission(caller, id, &known),
-                None => {
+            Ok(TransactionOutcome::Rejected { .. }) => match self.read_job(id, deadline).await {
+                Ok(Some(known)) => self.check_resubmission(caller, id, &known),
+                Ok(None) => {
                     let detail = "the row of the job existed and was deleted";
                     Err(Error::new(ErrorKind::StoreUnknown, detail))
                 }
+                Err(error) => {
+                    let detail = format!("the row of the job exists but was not read: {error}");
+                    Err(Error::new(ErrorKind::StoreUnknown, detail))
+                }
             },
             Err(error) => {
                 warn!(target: event::JOB_NOT_ACCEPTED, job = id, queue = &*record.queue, outcome = error.outcome().name(); "not accepted: {error}");
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -8,6 +8,7 @@
 mod intake;
 mod metrics;
 mod refusal;
+mod unresolved;
 mod view;
 
 pub use caller::Caller;
--- a/crates/intake/tests/cancel.rs
+++ b/crates/intake/tests/cancel.rs
@@ -1,28 +1,25 @@
 //! Tests of cancelling a job while the entry host's view of it is behind the store.
 
+mod common;
+
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use common::CALL_LIMIT;
+use common::JOB_ID;
+use common::caller;
+use common::intake;
+use common::one_task;
 use nutmegwalk_base::ErrorKind;
-use nutmegwalk_base::metrics::Metrics;
 use nutmegwalk_emulator::EmulatedStore;
 use nutmegwalk_intake::Caller;
 use nutmegwalk_intake::Intake;
-use nutmegwalk_intake::IntakeMetrics;
-use nutmegwalk_intake::IntakeSettings;
 use nutmegwalk_intake::JobView;
-use nutmegwalk_store::Reachability;
-use nutmegwalk_store::StoreClient;
 use nutmegwalk_store::Transaction;
-use nutmegwalk_workload::JobConfiguration;
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRow;
-use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::JobState;
-use nutmegwalk_workload::Queue;
-use nutmegwalk_workload::QueuePolicy;
-use nutmegwalk_workload::StepSpec;
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
@@ -32,19 +29,6 @@
     };
 }
 
-/// Time limit of a call, long enough for a busy machine.
-const CALL_LIMIT: Duration = Duration::from_secs(60);
-const JOB_ID: &str = "a";
-
-/// Reports the store as always reachable.
-struct AlwaysReachable;
-
-impl Reachability for AlwaysReachable {
-    fn unreachable_for(&self) -> Option<Duration> {
-        None
-    }
-}
-
 /// An entry host with one accepted job, whose feed delivers nothing afterwards.
 struct Host {
     store: EmulatedStore,
@@ -59,35 +43,15 @@
         let view = JobView::new(Rc::new(feed.clone()));
         let follower = view.clone();
         compio::runtime::spawn(async move { follower.run().await }).detach();
-        let shared = Rc::new(store.clone());
-        let settings = IntakeSettings {
-            store_deadline: CALL_LIMIT,
-            ..IntakeSettings::default()
-        };
-        let metrics = Metrics::new().expect("metrics");
-        let intake = Intake::new(
-            settings,
-            StoreClient::new(shared.clone(), shared),
-            Rc::new(AlwaysReachable),
-            view.clone(),
-            IntakeMetrics::new(&metrics.meter()),
-        );
+        let intake = intake(&store, &view, CALL_LIMIT);
         let host = Self {
             store,
             intake,
             caller: caller(),
         };
-        let spec = JobSpec {
-            payload: "work".into(),
-            steps: vec![StepSpec {
-                tasks: 1,
-                ..StepSpec::default()
-            }],
-            repeat: None,
-        };
         let submitted = host
             .intake
-            .submit(&host.caller, JOB_ID, spec, CALL_LIMIT)
+            .submit(&host.caller, JOB_ID, one_task(), CALL_LIMIT)
             .await;
         submitted.expect("the store accepts the job");
         let started = Instant::now();
@@ -115,28 +79,6 @@
     }
 }
 
-fn caller() -> Caller {
-    Caller {
-        configuration: Rc::new(JobConfiguration::default()),
-        queue: Queue {
-            name: "normal".into(),
-            host: "host".into(),
-            path_prefix: "/normal/".into(),
-            is_anonymous: false,
-            policy: QueuePolicy {
-                service: "plank-desk".into(),
-                priority: 1,
-                max_failures: 2,
-                stretch: 3.0,
-                completion_slack_ms: 1_000,
-                advice: None,
-            },
-        },
-        subpath: JOB_ID.into(),
-        customer: Some("mill".into()),
-    }
-}
-
 cases! {
     // Guards against a cancellation that is confirmed although the job has completed, and against a state that
     // changes from cancelled to completed.
--- a/crates/intake/tests/snapshot.rs
+++ b/crates/intake/tests/snapshot.rs
@@ -1,5 +1,7 @@
 //! Tests of snapshots of the jobs that are applied after later rows were read or written.
 
+mod common;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::pin::Pin;
@@ -7,32 +9,27 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::CALL_LIMIT;
+use common::JOB_ID;
+use common::caller;
+use common::intake;
+use common::one_task;
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_base::Result;
-use nutmegwalk_base::metrics::Metrics;
 use nutmegwalk_emulator::EmulatedStore;
 use nutmegwalk_intake::Caller;
 use nutmegwalk_intake::Intake;
-use nutmegwalk_intake::IntakeMetrics;
-use nutmegwalk_intake::IntakeSettings;
 use nutmegwalk_intake::JobView;
 use nutmegwalk_store::Change;
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Changes;
 use nutmegwalk_store::Page;
-use nutmegwalk_store::Reachability;
 use nutmegwalk_store::Row;
 use nutmegwalk_store::RowVersion;
-use nutmegwalk_store::StoreClient;
 use nutmegwalk_store::Transaction;
-use nutmegwalk_workload::JobConfiguration;
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRow;
-use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::JobState;
-use nutmegwalk_workload::Queue;
-use nutmegwalk_workload::QueuePolicy;
-use nutmegwalk_workload::StepSpec;
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
@@ -45,19 +42,7 @@
 /// Answer of a feed.
 type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T>> + 'a>>;
 
-/// Time limit of a call, long enough for a busy machine.
-const CALL_LIMIT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-const JOB_ID: &str = "a";
-
-/// Reports the store as always reachable.
-struct AlwaysReachable;
-
-impl Reachability for AlwaysReachable {
-    fn unreachable_for(&self) -> Option<Duration> {
-        None
-    }
-}
 
 /// A feed that delivers what a test gives it: one page as a snapshot, and then changes.
 #[derive(Default)]
@@ -112,19 +97,7 @@
         let view = JobView::new(feed.clone());
         let follower = view.clone();
         compio::runtime::spawn(async move { follower.run().await }).detach();
-        let shared = Rc::new(store.clone());
-        let settings = IntakeSettings {
-            store_deadline: CALL_LIMIT,
-            ..IntakeSettings::default()
-        };
-        let metrics = Metrics::new().expect("metrics");
-        let intake = Intake::new(
-            settings,
-            StoreClient::new(shared.clone(), shared),
-            Rc::new(AlwaysReachable),
-            view.clone(),
-            IntakeMetrics::new(&metrics.meter()),
-        );
+        let intake = intake(&store, &view, CALL_LIMIT);
         Self {
             store,
             feed,
@@ -135,15 +108,9 @@
     }
 
     async fn submit(&self) {
-        let spec = JobSpec {
-            payload: "work".into(),
-            steps: vec![StepSpec {
-                tasks: 1,
-                ..StepSpec::default()
-            }],
-            repeat: None,
-        };
-        let submitted = self.intake.submit(&self.caller, JOB_ID, spec, CALL_LIMIT);
+        let submitted = self
+            .intake
+            .submit(&self.caller, JOB_ID, one_task(), CALL_LIMIT);
         submitted.await.expect("the store accepts the job");
     }
 
@@ -220,28 +187,6 @@
     }
 }
 
-fn caller() -> Caller {
-    Caller {
-        configuration: Rc::new(JobConfiguration::default()),
-        queue: Queue {
-            name: "normal".into(),
-            host: "host".into(),
-            path_prefix: "/normal/".into(),
-            is_anonymous: false,
-            policy: QueuePolicy {
-                service: "plank-desk".into(),
-                priority: 1,
-                max_failures: 2,
-                stretch: 3.0,
-                completion_slack_ms: 1_000,
-                advice: None,
-            },
-        },
-        subpath: JOB_ID.into(),
-        customer: Some("mill".into()),
-    }
-}
-
 cases! {
     // Guards against a confirmed cancellation that callers no longer see after an earlier snapshot.
     earlier_snapshot_does_not_hide_a_cancellation => {
