Do not answer a submission as not run when its job exists and cannot be read

What callers of the product's own interface could see: a submission is repeated with its key, the row exists, the read of it fails, and the answer is 503 `store_unavailable`, "not run", for a job that runs.

Cause: `JobTable::accept` passed the error of the read on as the error of the submission.

Change: the error is `store_unknown`, as the row was there when the write was rejected.

--- a/crates/node/src/job_table.rs
+++ b/crates/node/src/job_table.rs
@@ -48,7 +48,8 @@
     /// Stores an accepted job. If a job with the same id, request and customer exists, it is returned.
     ///
     /// # Errors
-    /// `key_reused` when the id belongs to another job; errors of the store.
+    /// `key_reused` when the id belongs to another job; `store_unknown` when the id belongs to a job that cannot be read;
+    /// errors of the store.
     pub async fn accept(&self, record: &JobRecord) -> Result<StoredJob> {
         let key = job_key(&record.id);
         let transaction = Transaction::new()
@@ -61,7 +62,10 @@
                 version,
             }),
             TransactionOutcome::Rejected { .. } => {
-                let stored = self.read(&record.id).await?;
+                let stored = self.read(&record.id).await.map_err(|error| {
+                    let detail = format!("the row of the job existed but was not read: {error}");
+                    Error::new(ErrorKind::StoreUnknown, detail)
+                })?;
                 if stored.record.request == record.request
                     && stored.record.customer == record.customer
                 {
