Keep batches of writes within the size of a transaction

What could be seen: writes of progress that are collected together exceed the 100 entries or the 1 MB that the platform's store accepts in a call, as a batch counted its writes only.

Cause: `BatchKeys` bounded the number of writes; the platform counts conditions as well, and bytes.

Change: a batch ends before it exceeds 100 entries, with the conditions where the store counts these (`TableStore::counts_conditions`), or 600 KB of keys and values, which stay below 1 MB in base64.

--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -461,6 +461,10 @@
         async move { Ok(self.page(prefix, after, limit).await?.rows) }.boxed_local()
     }
 
+    fn counts_conditions(&self) -> bool {
+        self.inner.table.counts_conditions()
+    }
+
     fn clock(&self) -> Option<StoreClock> {
         self.inner.table.clock()
     }
--- a/crates/store/src/batch_item.rs
+++ b/crates/store/src/batch_item.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use crate::Condition;
+use crate::MAX_TRANSACTION_BYTES;
 use crate::MAX_TRANSACTION_WRITES;
 use crate::Row;
 use crate::Transaction;
@@ -192,32 +193,67 @@
     }
 }
 
-/// Keys in the writes and conditions of a batch, used to keep dependent items out of the same transaction.
+/// Keys in the writes and conditions of a batch, used to keep dependent items out of the same transaction, and the size
+/// of the batch.
 #[derive(Debug, Default)]
 pub(crate) struct BatchKeys {
     written: HashSet<Box<str>>,
     conditions: HashSet<Box<str>>,
-    writes: usize,
+    /// Whether the store limits the conditions and writes together.
+    counts_conditions: bool,
+    /// Number of writes, and of distinct conditions if these count.
+    entries: usize,
+    /// Total length of keys and values, in bytes.
+    bytes: usize,
 }
 
 impl BatchKeys {
-    /// Adds an item, or returns false if the batch would become too large or the item depends on another item.
+    /// Creates an empty batch for a store that limits the number of writes, with or without the conditions.
+    pub(crate) fn new(counts_conditions: bool) -> Self {
+        Self {
+            counts_conditions,
+            ..Self::default()
+        }
+    }
+
+    /// Adds an item, or returns false if the batch would become too large or the item depends on another item. An item
+    /// that is too large on its own is sent alone.
     ///
     /// The conditions of a transaction are checked before any of its writes are applied. Two items must therefore not
     /// share a transaction if one of them writes a row that the other writes or has a condition on.
     pub(crate) fn try_add(&mut self, item: &BatchItem) -> bool {
-        let writes = item.transaction.writes.len();
         let is_dependent = item
             .written_keys()
             .any(|key| self.written.contains(key) || self.conditions.contains(key))
             || item.condition_keys().any(|key| self.written.contains(key));
-        if is_dependent || self.writes + writes > MAX_TRANSACTION_WRITES {
+        let new_conditions: HashSet<&str> = item
+            .condition_keys()
+            .filter(|key| !self.conditions.contains(*key))
+            .collect();
+        let counted = if self.counts_conditions {
+            new_conditions.len()
+        } else {
+            0
+        };
+        let entries = item.transaction.writes.len() + counted;
+        let bytes = item
+            .transaction
+            .writes
+            .iter()
+            .map(Write::bytes)
+            .sum::<usize>()
+            + new_conditions.iter().map(|key| key.len()).sum::<usize>();
+        let is_too_large = self.entries > 0
+            && (self.entries + entries > MAX_TRANSACTION_WRITES
+                || self.bytes + bytes > MAX_TRANSACTION_BYTES);
+        if is_dependent || is_too_large {
             return false;
         }
-        self.writes += writes;
+        self.entries += entries;
+        self.bytes += bytes;
+        let new_conditions: Vec<Box<str>> = new_conditions.into_iter().map(Into::into).collect();
+        self.conditions.extend(new_conditions);
         self.written.extend(item.written_keys().cloned());
-        self.conditions
-            .extend(item.condition_keys().map(Into::into));
         true
     }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -316,7 +316,8 @@
         compio::runtime::spawn(async move {
             compio::time::sleep(BATCH_WINDOW).await;
             let queue = inner.queue(class);
-            let items = next_batch(&mut queue.waiting.borrow_mut());
+            let keys = BatchKeys::new(inner.table.counts_conditions());
+            let items = next_batch(&mut queue.waiting.borrow_mut(), keys);
             queue.is_collecting.set(false);
             Self::start_batch(&inner, class);
             batch::run(&inner, class, items).await;
@@ -457,9 +458,9 @@
     }
 }
 
-/// Removes items from the head of the queue, up to the first one that depends on one of them or does not fit.
-fn next_batch(waiting: &mut VecDeque<BatchItem>) -> Vec<BatchItem> {
-    let mut keys = BatchKeys::default();
+/// Removes items from the head of the queue, up to the first one that depends on one of them or does not fit into the
+/// batch, which is empty at first.
+fn next_batch(waiting: &mut VecDeque<BatchItem>, mut keys: BatchKeys) -> Vec<BatchItem> {
     let mut items = Vec::new();
     while let Some(item) = waiting.front() {
         if !keys.try_add(item) {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -36,6 +36,7 @@
 pub use request_class::RequestClass;
 pub use request_class::RequestClassCounters;
 pub use table::Condition;
+pub use table::MAX_TRANSACTION_BYTES;
 pub use table::MAX_TRANSACTION_WRITES;
 pub use table::ObjectStore;
 pub use table::Reachability;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -15,6 +15,9 @@
 
 /// Largest number of writes in one transaction.
 pub const MAX_TRANSACTION_WRITES: usize = 100;
+/// Largest total length of keys and values, in bytes, of a transaction that merges several. Encoded in base64 and JSON
+/// it stays below 1 MB.
+pub const MAX_TRANSACTION_BYTES: usize = 600 << 10;
 
 /// One row of the table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -63,6 +66,17 @@
     },
 }
 
+impl Write {
+    /// Returns the length of the key and the value, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Put { key, value } => key.len() + value.len(),
+            Self::Delete { key } => key.len(),
+        }
+    }
+}
+
 /// Writes that are applied atomically if all conditions hold.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Transaction {
@@ -177,6 +191,11 @@
         limit: usize,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>>>;
 
+    /// Returns whether [`MAX_TRANSACTION_WRITES`] limits the conditions and writes of a transaction together.
+    fn counts_conditions(&self) -> bool {
+        false
+    }
+
     /// Returns the store's clock as reported in the latest response; `None` for a store that reports no clock.
     fn clock(&self) -> Option<StoreClock> {
         None
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -57,6 +57,21 @@
         assert_eq!(client.counters().total().writes, store.transactions.borrow().len() as u64);
     }
 
+    // Guards against a batch that the store refuses for its size, with all transactions in it.
+    batch_of_long_rows_stays_within_the_size_of_a_transaction => {
+        let store = FaultyStore::with_faults([]);
+        let client = store.client();
+        let value = format!(r#"{{"text":"{}"}}"#, "x".repeat(40_000));
+        let transactions: Vec<_> = (0..60)
+            .map(|index| Transaction::new().with_put(format!("job/{index}"), value.clone()))
+            .collect();
+        let outcomes = join_all(transactions.iter().map(|t| client.transact(RequestClass::Progress, t, LIMIT))).await;
+        assert!(outcomes.iter().all(|outcome| is_committed(outcome.as_ref().unwrap())));
+        let rows = store.transactions.borrow().iter().copied().max().expect("a transaction");
+        // In base64 the rows take a third more, and the store accepts 1 MB.
+        assert!(rows * value.len() * 4 / 3 < 1_000_000, "{rows} rows in one transaction");
+    }
+
     // Guards against a failed condition that also rejects the other transactions of its batch.
     failed_condition_does_not_reject_other_transactions => {
         let store = FaultyStore::with_faults([]);
