--- a/crates/domain/src/cleanup.rs
+++ b/crates/domain/src/cleanup.rs
@@ -74,7 +74,8 @@
             job.ended_at
                 .is_some_and(|at| now.saturating_duration_since(at) > retention)
                 && job.units.values().all(|unit| unit.runs.is_empty())
-                && job.stored_revision >= job.revision
+                && !job.has_unstored_changes()
+                && job.stored_parts.is_empty()
                 && !job.is_writing
         });
         ended
--- a/crates/domain/src/crash.rs
+++ b/crates/domain/src/crash.rs
@@ -1,5 +1,6 @@
 //! Crashes of workers under their runs, and the jobs that are given up because of them.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,20 +22,17 @@
 
 impl Term {
     /// Records in the jobs' progress that runs are lost with `worker`, in case it has crashed.
-    pub(crate) fn record_lost_runs<'a>(
-        &self,
-        worker: &WorkerRef,
-        ended: impl Iterator<Item = &'a TaskRun> + Clone,
-    ) {
+    pub(crate) fn record_lost_runs(&self, worker: &WorkerRef, ended: &BTreeSet<&TaskRun>) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let mut lost = Vec::new();
         for (unit, run, assignment) in state.assignments_on(worker) {
-            let is_lost = ended
-                .clone()
-                .any(|ended| ended.run == run.run && ended.task == unit.task_id(assignment.index));
-            if is_lost && may_have_crashed(assignment) {
+            let run_of_task = TaskRun {
+                task: unit.task_id(assignment.index),
+                run: run.run,
+            };
+            if may_have_crashed(assignment) && ended.contains(&run_of_task) {
                 let has_lasted = state.jobs.get(&unit.job).is_some_and(|job| {
                     job.step_of(unit).is_lasting && has_worked_for(run, TRIAL_TIME, now)
                 });
@@ -49,7 +47,8 @@
             let Some(job) = state.jobs.get_mut(&unit.job) else {
                 continue;
             };
-            if let Some(history) = job.progress.crash_history_mut(&unit) {
+            let spec = &job.record.spec;
+            if let Some(history) = job.progress.crash_history_mut(spec, &unit) {
                 if has_lasted {
                     history.clear();
                 } else {
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -1,9 +1,13 @@
 //! In-memory state of a job.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::readiness::Readiness;
+use nutmegwalk_base::JobId;
 use nutmegwalk_placement::WaitReason;
 use nutmegwalk_store::RowVersion;
 use nutmegwalk_supervisor::WorkerStatus;
@@ -12,6 +16,7 @@
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRecord;
 use nutmegwalk_workload::Occurrence;
+use nutmegwalk_workload::PartId;
 use nutmegwalk_workload::Run;
 use nutmegwalk_workload::StepIndex;
 use nutmegwalk_workload::StepSpec;
@@ -173,7 +178,15 @@
     pub(crate) is_guaranteed: bool,
     /// Checkpoint from which the run resumed.
     pub(crate) resumed_from: Option<Box<str>>,
+    /// Assignments in the order of the tasks.
     pub(crate) assignments: Vec<Assignment>,
+    /// Whether the stop of all tasks was requested.
+    pub(crate) is_stop_requested: bool,
+    /// Number of tasks from the first one on that are known to have ended. Each end asks whether it is the last one, and
+    /// must not look at all members of a large gang.
+    ended: Cell<usize>,
+    /// Number of tasks from the first one on that were seen running, for the same reason.
+    seen_running: Cell<usize>,
 }
 
 impl LiveRun {
@@ -199,14 +212,30 @@
             is_guaranteed: false,
             resumed_from: None,
             assignments,
+            is_stop_requested: false,
+            ended: Cell::new(0),
+            seen_running: Cell::new(0),
         }
     }
 
-    /// Returns whether all tasks of the run have ended.
-    pub(crate) fn has_ended(&self) -> bool {
+    /// Returns the assignment of a task of the run.
+    pub(crate) fn assignment_mut(&mut self, index: TaskIndex) -> Option<&mut Assignment> {
+        let first = self.assignments.first()?.index;
+        let position = index.checked_sub(first)?;
+        self.assignments.get_mut(position as usize)
+    }
+
+    /// Returns the workers to which tasks of the run are assigned, each once.
+    pub(crate) fn workers(&self) -> BTreeSet<&WorkerRef> {
         self.assignments
             .iter()
-            .all(|assignment| assignment.state == AssignmentState::Ended)
+            .map(|assignment| &assignment.worker)
+            .collect()
+    }
+
+    /// Returns whether all tasks of the run have ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.advance(&self.ended, AssignmentState::Ended)
     }
 
     /// Returns whether a task of the run is being stopped or has ended.
@@ -218,13 +247,25 @@
 
     /// Returns whether all tasks of the run are running.
     pub(crate) fn is_fully_running(&self) -> bool {
-        self.assignments
-            .iter()
-            .all(|assignment| assignment.state == AssignmentState::Running)
+        // A task that was seen running may have ended since.
+        self.advance(&self.seen_running, AssignmentState::Running)
+            && self
+                .assignments
+                .iter()
+                .all(|assignment| assignment.state == AssignmentState::Running)
+    }
+
+    /// Advances `count` past the tasks in `state`; returns whether it has reached the last one.
+    fn advance(&self, count: &Cell<usize>, state: AssignmentState) -> bool {
+        let following = self.assignments[count.get()..].iter();
+        let advanced = following.take_while(|assignment| assignment.state == state);
+        count.set(count.get() + advanced.count());
+        count.get() == self.assignments.len()
     }
 
     /// Requests the stop of all tasks that have not ended; returns whether a worker has to be ordered to do so.
     pub(crate) fn stop(&mut self) -> bool {
+        self.is_stop_requested = true;
         let mut has_any = false;
         for assignment in &mut self.assignments {
             match assignment.state {
@@ -245,12 +286,10 @@
     }
 }
 
-/// In-memory state of a unit.
+/// In-memory state of a unit that has started in this term or has runs of an earlier one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LiveUnit {
     pub(crate) runs: Vec<LiveRun>,
-    /// When the unit became ready to start.
-    pub(crate) ready_since: Option<Instant>,
     /// When the unit completed.
     pub(crate) done_at: Option<Instant>,
     /// When the last of the unit's runs ended.
@@ -272,7 +311,17 @@
     pub(crate) stored_revision: u64,
     /// Whether a task is writing the progress.
     pub(crate) is_writing: bool,
+    /// When the store last refused the progress because of its content.
+    pub(crate) refused_at: Option<Instant>,
+    /// Revision that is being stored.
+    pub(crate) written_revision: u64,
+    /// Parts of the progress that have to be written until that revision is stored.
+    pub(crate) unstored_parts: BTreeSet<PartId>,
+    /// Parts of the progress that have a row in the store, or may have one.
+    pub(crate) stored_parts: BTreeSet<PartId>,
+    /// Units that have started. Units that wait for their first run take no memory.
     pub(crate) units: BTreeMap<UnitId, LiveUnit>,
+    pub(crate) readiness: Readiness,
     /// Reason why each step waits, as logged last.
     pub(crate) waits: BTreeMap<(Occurrence, StepIndex, CrashRisk), WaitReason>,
     /// Estimated time at which the job was accepted.
@@ -289,22 +338,29 @@
             revision: 0,
             stored_revision: 0,
             is_writing: false,
+            refused_at: None,
+            written_revision: 0,
+            unstored_parts: BTreeSet::new(),
+            stored_parts: BTreeSet::new(),
             units: BTreeMap::new(),
+            readiness: Readiness::default(),
             waits: BTreeMap::new(),
             accepted_at,
             ended_at: None,
         }
     }
 
-    /// Applies the progress that a previous owner stored.
+    /// Applies the progress that a previous owner stored, of which `parts` have rows of their own.
     pub(crate) fn inherit(
         &mut self,
         id: &str,
         progress: JobProgress,
         version: RowVersion,
+        parts: BTreeSet<PartId>,
         now: Instant,
     ) {
         self.stored_version = Some(version);
+        self.stored_parts = parts;
         for (unit, attempt) in progress.attempts(id, &self.record.spec) {
             let run = LiveRun::new(
                 &unit,
@@ -372,8 +428,22 @@
             .runs
             .iter_mut()
             .find(|live| live.run == run)?
-            .assignments
-            .iter_mut()
-            .find(|assignment| assignment.index == index)
+            .assignment_mut(index)
+    }
+
+    /// Returns the units of a step that have started.
+    pub(crate) fn started_units(
+        &self,
+        id: &JobId,
+        occurrence: Occurrence,
+        step: StepIndex,
+    ) -> impl Iterator<Item = (&UnitId, &LiveUnit)> {
+        let bound = |task| UnitId {
+            job: id.clone(),
+            occurrence,
+            step,
+            task,
+        };
+        self.units.range(bound(None)..=bound(Some(TaskIndex::MAX)))
     }
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -16,6 +16,7 @@
 mod owner;
 mod planning;
 mod progress_writer;
+mod readiness;
 mod replica;
 mod report;
 mod run_index;
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -155,6 +155,7 @@
         });
         *self.term.borrow_mut() = Some(Rc::clone(&term));
         let replica = Rc::new(JobReplica::new(Rc::clone(&term)));
+        let feed = Rc::clone(&self.feed);
         let (planner, cleaner) = (Rc::clone(&term), Rc::clone(&term));
         let tasks = [
             spawn_restarting("policy", move || {
@@ -162,8 +163,12 @@
                 async move { policy.run().await }
             }),
             spawn_restarting("jobs", move || {
-                let (jobs, replica) = (Rc::clone(&jobs), Rc::clone(&replica));
-                async move { jobs.run(&*replica).await }
+                let (feed, jobs, replica) =
+                    (Rc::clone(&feed), Rc::clone(&jobs), Rc::clone(&replica));
+                async move {
+                    replica.read_parts(&*feed).await;
+                    jobs.run(&*replica).await;
+                }
             }),
             spawn_restarting("planner", move || Rc::clone(&planner).run_planner()),
             spawn_restarting("cleaner", move || Rc::clone(&cleaner).clean_up()),
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -44,6 +44,9 @@
 /// Time for which a new owner waits for reports even if there are no inherited runs.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum number of places in the log line of a start.
+const MAX_LOGGED_PLACES: usize = 64;
+
 impl Term {
     /// Checks timeouts and makes decisions after changes, until the task is dropped.
     pub(crate) async fn run_planner(self: Rc<Self>) {
@@ -198,15 +201,13 @@
         }
         job.waits
             .remove(&(step.occurrence, step.step, step.crash_risk));
-        let task_workers: Vec<String> = assignments()
-            .map(|(task, worker)| format!("{task}@{}", worker.id))
-            .collect();
+        let places = places(assignments());
         info!(target: event::TASKS_PLACED,
             job = &*step.job,
             occurrence = step.occurrence,
             step = step.step,
             run = runs.iter().max().copied().unwrap_or(0),
-            places = task_workers.join(" ").as_str(),
+            places = places.as_str(),
             waited_ms = as_ms(step.waited),
             slack_ms = as_ms(step.slack()),
             priority = step.priority,
@@ -311,6 +312,32 @@
     run
 }
 
+/// Returns the tasks and their workers for the log, such as `0-3@i-7f3a 4@i-91c2`.
+fn places<'a>(assignments: impl Iterator<Item = (TaskIndex, &'a WorkerRef)>) -> String {
+    let mut ranges: Vec<(TaskIndex, TaskIndex, &WorkerRef)> = Vec::new();
+    for (task, worker) in assignments {
+        match ranges.last_mut() {
+            Some((_, last, known)) if *last + 1 == task && *known == worker => *last = task,
+            _ => ranges.push((task, task, worker)),
+        }
+    }
+    let texts = ranges
+        .iter()
+        .take(MAX_LOGGED_PLACES)
+        .map(|(first, last, worker)| {
+            if first == last {
+                format!("{first}@{}", worker.id)
+            } else {
+                format!("{first}-{last}@{}", worker.id)
+            }
+        });
+    let text = texts.collect::<Vec<_>>().join(" ");
+    match ranges.len().saturating_sub(MAX_LOGGED_PLACES) {
+        0 => text,
+        more => format!("{text} and {more} more"),
+    }
+}
+
 fn unit_id(step: &WaitingStep, task: Option<TaskIndex>) -> UnitId {
     UnitId {
         job: step.job.clone(),
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -1,12 +1,14 @@
 //! Replica of the job rows in the store.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use log::error;
 use log::info;
+use log::warn;
 
 use crate::job::Job;
 use crate::term::Term;
@@ -14,11 +16,22 @@
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_store::Change;
+use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Replica;
 use nutmegwalk_store::Row;
 use nutmegwalk_workload::JobProgress;
 use nutmegwalk_workload::JobRecord;
 use nutmegwalk_workload::JobRow;
+use nutmegwalk_workload::PART_PREFIX;
+use nutmegwalk_workload::PartId;
+
+/// Maximum number of rows that are read at a time.
+const PARTS_PER_PAGE: usize = 500;
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Content of the parts of the progress of jobs.
+type StoredParts = BTreeMap<JobId, Vec<(PartId, Box<str>)>>;
 
 /// Applies job rows from the store to the state of a term.
 pub(crate) struct JobReplica {
@@ -27,6 +40,8 @@
     early_cancels: RefCell<BTreeSet<JobId>>,
     /// Jobs whose stored progress cannot be read. What they have run is unknown, so they are not started.
     unreadable: RefCell<BTreeSet<JobId>>,
+    /// Parts of the progress that earlier owners stored, until the progress is inherited.
+    parts: RefCell<StoredParts>,
 }
 
 impl JobReplica {
@@ -35,7 +50,39 @@
             term,
             early_cancels: RefCell::default(),
             unreadable: RefCell::default(),
+            parts: RefCell::default(),
+        }
+    }
+
+    /// Reads the parts of the progress that earlier owners stored, with retries. These owners cannot write any more.
+    pub(crate) async fn read_parts(&self, feed: &dyn ChangeFeed) {
+        let mut parts = StoredParts::new();
+        let mut after = Box::<str>::default();
+        loop {
+            let page = match feed.page(PART_PREFIX, &after, PARTS_PER_PAGE).await {
+                Ok(page) => page,
+                Err(error) => {
+                    warn!(target: event::FEED_LOST, "cannot read the parts of the jobs' progress: {error}");
+                    compio::time::sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            };
+            if let Some(last) = page.rows.last() {
+                after = last.key.clone();
+            }
+            for row in page.rows {
+                match PartId::parse(&row.key) {
+                    Some((id, part)) => parts.entry(id).or_default().push((part, row.value)),
+                    None => {
+                        info!(target: event::ROW_UNKNOWN, key = &*row.key; "ignored a row that is not part of a job's progress")
+                    }
+                }
+            }
+            if !page.has_more {
+                break;
+            }
         }
+        *self.parts.borrow_mut() = parts;
     }
 
     /// Applies a row that was written.
@@ -156,33 +203,38 @@
 
     /// Applies the progress that a previous owner stored.
     fn inherit(&self, id: &JobId, row: &Row) {
-        let progress = match serde_json::from_str::<JobProgress>(&row.value) {
+        let parts = self.parts.borrow_mut().remove(id).unwrap_or_default();
+        let progress = match self.term.state.borrow().jobs.get(id) {
+            Some(job) => {
+                let rows = parts.iter().map(|(part, value)| (*part, &**value));
+                JobProgress::from_rows(&job.record.spec, &row.value, rows)
+            }
+            None => return,
+        };
+        let progress = match progress {
             Ok(progress) => progress,
-            Err(error) => {
-                self.reject_progress(id, &error.to_string());
+            Err(problem) => {
+                self.reject_progress(id, &problem.to_string());
                 return;
             }
         };
-        let has_fitting_spec = match self.term.state.borrow().jobs.get(id) {
-            Some(job) => progress.fits(&job.record.spec),
-            None => return,
-        };
-        if !has_fitting_spec {
-            self.reject_progress(id, "it does not match the job's steps");
-            return;
-        }
         let mut state = self.term.state.borrow_mut();
         let state = &mut *state;
         if let Some(job) = state.jobs.get_mut(id)
             && job.stored_version.is_none()
             && job.revision == 0
         {
-            job.inherit(id, progress, row.version, clock::now());
+            let parts = parts.into_iter().map(|(part, _)| part).collect();
+            job.inherit(id, progress, row.version, parts, clock::now());
             for (unit, live) in &job.units {
                 for run in &live.runs {
                     state.runs.insert(unit, run);
                 }
             }
+            if job.has_unstored_changes() {
+                // Rows of parts that are not needed any more have to be deleted.
+                state.mark_changed(id);
+            }
         }
     }
 }
@@ -217,6 +269,7 @@
                 .filter(|job| !job.progress.state.is_final());
             info!(target: event::JOBS_READ, epoch = self.term.epoch(), jobs = state.jobs.len(), open = open.count(); "");
             self.term.is_loaded.set(true);
+            self.parts.borrow_mut().clear();
         }
         self.term.flush();
     }
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -1,6 +1,7 @@
 //! Handling of the agents' reports.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -231,12 +232,11 @@
                 unexpected_runs.insert(task.run.clone(), run);
             }
         }
-        let is_listed = |run: &TaskRun| {
-            status.running.iter().any(|task| task.run == *run)
-                || status.ended.iter().any(|end| end.run == *run)
-        };
+        let running = status.running.iter().map(|task| &task.run);
+        let ended = status.ended.iter().map(|end| &end.run);
+        let listed: BTreeSet<&TaskRun> = running.chain(ended).collect();
         let has_answered = status.answer_age_ms.is_some();
-        if has_answered && state.stop_missing(worker, &is_listed, now) {
+        if has_answered && state.stop_missing(worker, &listed, now) {
             state.queue_notification(&worker.id);
         }
         let Some(known) = state.workers.get_mut(&worker.id) else {
@@ -366,7 +366,7 @@
             && run.is_fully_running()
         {
             run.all_running_since = Some(now);
-            if let Some(ready_since) = live.ready_since {
+            if let Some(ready_since) = job.readiness.since(unit.occurrence, unit.step) {
                 let delay = now.saturating_duration_since(ready_since);
                 let priority = job.record.policy.priority;
                 metrics.record_start(priority, run.is_guaranteed, delay);
@@ -381,7 +381,7 @@
     fn stop_missing(
         &mut self,
         worker: &WorkerRef,
-        is_listed: &dyn Fn(&TaskRun) -> bool,
+        listed: &BTreeSet<&TaskRun>,
         now: Instant,
     ) -> bool {
         let mut missing = Vec::new();
@@ -399,7 +399,7 @@
                 task: unit.task_id(assignment.index),
                 run: run.run,
             };
-            if is_expected && assignment.stop == StopState::None && !is_listed(&task) {
+            if is_expected && assignment.stop == StopState::None && !listed.contains(&task) {
                 missing.push((unit.clone(), run.run, assignment.index));
             }
         }
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -9,6 +9,7 @@
 use crate::job::AssignmentState;
 use crate::job::Job;
 use crate::job::LiveRun;
+use crate::job::LiveUnit;
 use crate::term::State;
 use crate::term::Term;
 use crate::urgency::Urgency;
@@ -18,6 +19,7 @@
 use nutmegwalk_placement::Isolation;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
+use nutmegwalk_placement::TaskList;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
 use nutmegwalk_workload::CrashRisk;
@@ -31,11 +33,6 @@
 
 /// Number of cores that one accelerator counts as in amounts of work.
 const CORES_PER_ACCELERATOR: u64 = 8;
-/// Margin after the due time of an occurrence, in milliseconds, for differences between clocks.
-const DUE_MARGIN_MS: u64 = 20;
-/// Maximum number of occurrences of one job that are considered at a time. Any number of them can be due when the
-/// interval is short or the job was due long ago.
-const MAX_DUE_OCCURRENCES: usize = 64;
 /// Time after which a suspect no longer waits for a worker on which a crash does little harm.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_millis(1_500);
 /// Run time that a stop loses although the task writes a checkpoint then.
@@ -46,7 +43,7 @@
     pub(crate) fn snapshot(&self, now: Instant) -> (Snapshot, Vec<WorkerRef>) {
         let mut state = self.state.borrow_mut();
         let unix_ms = self.wall_clock.unix_ms();
-        self.record_ready_units(&mut state, unix_ms, now);
+        self.refresh_readiness(&mut state, unix_ms, now);
         let state = &*state;
         let worker_refs: Vec<WorkerRef> = state
             .workers
@@ -140,26 +137,15 @@
         }
     }
 
-    /// Records the units that have become ready to start, and removes units that are done and have no runs.
-    fn record_ready_units(&self, state: &mut State, unix_ms: u64, now: Instant) {
-        for (id, job) in &mut state.jobs {
-            if job.progress.state.is_final() {
-                continue;
-            }
-            for occurrence in due_occurrences(job, unix_ms) {
-                for unit in job.progress.ready_units(id, &job.record.spec, occurrence) {
-                    let live = job.units.entry(unit).or_default();
-                    live.ready_since.get_or_insert(now);
-                }
-            }
-            let progress = &job.progress;
-            job.units
-                .retain(|unit, live| !live.runs.is_empty() || !progress.is_unit_done(unit));
-        }
+    /// Records the steps that have become ready to start, and removes units that are done and have no runs.
+    fn refresh_readiness(&self, state: &mut State, unix_ms: u64, now: Instant) {
         for job in state.jobs.values_mut() {
-            if job.progress.state.is_final() {
-                job.units.retain(|_, live| !live.runs.is_empty());
-            }
+            job.refresh_readiness(unix_ms, now);
+            let progress = &job.progress;
+            let is_final = progress.state.is_final();
+            job.units.retain(|unit, live| {
+                !live.runs.is_empty() || !is_final && !progress.is_unit_done(unit)
+            });
         }
     }
 
@@ -211,20 +197,6 @@
         .unwrap_or(0)
 }
 
-/// Returns the first occurrences of a job that are due and not finished.
-fn due_occurrences(job: &Job, unix_ms: u64) -> Vec<Occurrence> {
-    let first = job.progress.first_unfinished();
-    let Some(repeat) = &job.record.spec.repeat else {
-        return if first == 0 { vec![0] } else { Vec::new() };
-    };
-    let latest_due_ms = unix_ms.saturating_sub(DUE_MARGIN_MS);
-    (first..repeat.count)
-        .take_while(|occurrence| repeat.due_unix_ms(*occurrence) <= latest_due_ms)
-        .filter(|occurrence| !job.progress.is_finished(*occurrence))
-        .take(MAX_DUE_OCCURRENCES)
-        .collect()
-}
-
 /// Returns the state of a run for a snapshot.
 #[expect(
     clippy::too_many_arguments,
@@ -324,46 +296,51 @@
 
 impl WaitingSteps<'_> {
     fn collect(&self) -> Vec<WaitingStep> {
-        let mut steps: BTreeMap<(Occurrence, StepIndex, CrashRisk), Vec<&UnitId>> = BTreeMap::new();
-        for (unit, live) in &self.job.units {
-            if live.runs.is_empty() && live.ready_since.is_some() {
-                let crash_risk = self.job.placement_risk_of(unit);
-                let key = (unit.occurrence, unit.step, crash_risk);
-                steps.entry(key).or_default().push(unit);
+        let mut steps = Vec::new();
+        if self.job.is_refused(self.now) {
+            return steps;
+        }
+        for (occurrence, step, ready_since) in self.job.readiness.steps() {
+            let groups = self.job.waiting_tasks(self.id, occurrence, step);
+            // One decision does not see what it places for another part of the same step, so a step with a limit for
+            // each worker takes part with one group of tasks at a time.
+            let is_limited = self.job.record.spec.steps[step as usize]
+                .max_tasks_per_worker
+                .is_some();
+            let group_count = if is_limited { 1 } else { groups.len() };
+            for (crash_risk, tasks) in groups.into_iter().take(group_count) {
+                let group = Group {
+                    occurrence,
+                    step,
+                    crash_risk,
+                    ready_since,
+                };
+                steps.push(self.waiting_step(&group, TaskList::new(tasks)));
             }
         }
-        // One decision does not see what it places for another part of the same step, so a step with a limit for
-        // each worker takes part with one group of tasks at a time.
-        let mut limited = BTreeSet::new();
         steps
-            .into_values()
-            .filter(|units| {
-                self.job.step_of(units[0]).max_tasks_per_worker.is_none()
-                    || limited.insert((units[0].occurrence, units[0].step))
-            })
-            .map(|units| self.waiting_step(&units))
-            .collect()
     }
 
-    fn waiting_step(&self, units: &[&UnitId]) -> WaitingStep {
-        let first = units[0];
-        let step = self.job.step_of(first);
-        let tasks = match first.task {
-            None => (0..step.tasks).collect(),
-            Some(_) => units.iter().filter_map(|unit| unit.task).collect(),
-        };
+    fn waiting_step(&self, group: &Group, tasks: TaskList) -> WaitingStep {
+        let step = &self.job.record.spec.steps[group.step as usize];
         let time = |times: &BTreeMap<Occurrence, Duration>| {
-            times.get(&first.occurrence).copied().unwrap_or_default()
+            times.get(&group.occurrence).copied().unwrap_or_default()
         };
-        let waited = units
+        let started: Vec<(&UnitId, &LiveUnit)> = self
+            .job
+            .started_units(self.id, group.occurrence, group.step)
+            .collect();
+        let waiting: Vec<&LiveUnit> = started
             .iter()
-            .filter_map(|unit| self.job.units.get(*unit)?.ready_since)
-            .map(|since| self.now.saturating_duration_since(since))
-            .max();
+            .filter(|(unit, live)| {
+                live.runs.is_empty() && self.job.placement_risk_of(unit) == group.crash_risk
+            })
+            .map(|(_, live)| *live)
+            .collect();
         WaitingStep {
             job: self.id.clone(),
-            occurrence: first.occurrence,
-            step: first.step,
+            occurrence: group.occurrence,
+            step: group.step,
             tasks,
             is_gang: step.is_gang,
             service: self.policy.service.clone(),
@@ -374,27 +351,35 @@
             data_rack: step.data_rack.clone(),
             required_label: step.required_label.clone(),
             max_tasks_per_worker: step.max_tasks_per_worker,
-            started_tasks: self.started_tasks(first),
-            excluded: self.excluded(units),
+            started_tasks: self.started_tasks(&started),
+            excluded: self.excluded(&waiting),
             allowed: None,
-            crash_risk: self.job.placement_risk_of(first),
-            isolation: self.isolation(units),
-            run_time: self.urgency.run_times[first.step as usize],
-            waited: waited.unwrap_or_default(),
+            crash_risk: group.crash_risk,
+            isolation: self.isolation(group, &waiting),
+            run_time: self.urgency.run_times[group.step as usize],
+            waited: self.now.saturating_duration_since(group.ready_since),
             time_to_deadline: time(&self.urgency.time_to_deadline),
-            successors_run_time: self.urgency.successors_run_time[first.step as usize],
+            successors_run_time: self.urgency.successors_run_time[group.step as usize],
             time_to_expiry: time(&self.urgency.time_to_expiry),
         }
     }
 
     /// Returns how far the tasks have to be kept apart from others, so that a crash does little harm.
-    fn isolation(&self, units: &[&UnitId]) -> Isolation {
-        let waits_too_long = units
-            .iter()
-            .filter_map(|unit| self.job.units.get(*unit))
-            .filter_map(|live| live.last_run_ended_at.or(live.ready_since))
-            .any(|at| self.now.saturating_duration_since(at) > MAX_ISOLATION_WAIT);
-        match self.job.placement_risk_of(units[0]) {
+    fn isolation(&self, group: &Group, waiting: &[&LiveUnit]) -> Isolation {
+        let has_waited =
+            |since: Instant| self.now.saturating_duration_since(since) > MAX_ISOLATION_WAIT;
+        // Tasks that have not run in this term wait since their step became ready.
+        let has_others = self
+            .job
+            .progress
+            .risky_units(group.occurrence, group.step)
+            .filter(|(_, risk)| *risk == group.crash_risk)
+            .nth(waiting.len())
+            .is_some();
+        let since = |live: &&LiveUnit| live.last_run_ended_at.unwrap_or(group.ready_since);
+        let waits_too_long = waiting.iter().map(since).any(has_waited)
+            || has_others && has_waited(group.ready_since);
+        match group.crash_risk {
             _ if waits_too_long => Isolation::None,
             CrashRisk::Low => Isolation::None,
             CrashRisk::Raised => Isolation::FromSuspects,
@@ -402,15 +387,11 @@
         }
     }
 
-    /// Returns the workers with tasks of the same step that have not ended, and the number of these tasks.
-    fn started_tasks(&self, first: &UnitId) -> Vec<(usize, u32)> {
+    /// Returns the workers with tasks of a step that have not ended, and the number of these tasks.
+    fn started_tasks(&self, started: &[(&UnitId, &LiveUnit)]) -> Vec<(usize, u32)> {
         let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
-        let same_step = self
-            .job
-            .units
+        for assignment in started
             .iter()
-            .filter(|(unit, _)| unit.step == first.step && unit.occurrence == first.occurrence);
-        for assignment in same_step
             .flat_map(|(_, live)| &live.runs)
             .flat_map(|run| &run.assignments)
         {
@@ -424,10 +405,9 @@
     }
 
     /// Returns the workers on which units have failed or stalled; none if these are more than half of all workers.
-    fn excluded(&self, units: &[&UnitId]) -> Vec<usize> {
-        let mut excluded: Vec<usize> = units
+    fn excluded(&self, waiting: &[&LiveUnit]) -> Vec<usize> {
+        let mut excluded: Vec<usize> = waiting
             .iter()
-            .filter_map(|unit| self.job.units.get(*unit))
             .flat_map(|live| &live.failed_on)
             .filter_map(|worker| self.index_of.get(worker).copied())
             .collect();
@@ -439,3 +419,12 @@
         excluded
     }
 }
+
+/// Waiting tasks of a step that are equally likely to crash their workers.
+struct Group {
+    occurrence: Occurrence,
+    step: StepIndex,
+    crash_risk: CrashRisk,
+    /// When the step became ready.
+    ready_since: Instant,
+}
--- a/crates/domain/src/superseded.rs
+++ b/crates/domain/src/superseded.rs
@@ -56,7 +56,7 @@
                 run: *run,
             })
             .collect();
-        self.record_lost_runs(superseded, lost.iter());
+        self.record_lost_runs(superseded, &lost.iter().collect());
         let mut state = self.state.borrow_mut();
         for (unit, run, index) in &moved {
             let job = state.jobs.get_mut(&unit.job);
@@ -65,7 +65,11 @@
             }
         }
         drop(state);
-        for (unit, run, _) in moved {
+        let runs: BTreeSet<(UnitId, Run)> = moved
+            .into_iter()
+            .map(|(unit, run, _)| (unit, run))
+            .collect();
+        for (unit, run) in runs {
             self.stop_run(&unit, run);
         }
     }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -182,17 +182,18 @@
             return None;
         }
         assignment.enter(AssignmentState::Ended, now);
-        let spec = job.record.spec.clone();
-        let step = job.step_of(&unit).clone();
+        let spec = &job.record.spec;
+        let step = &spec.steps[unit.step as usize];
         if kind != EndKind::Done
             && let Some(checkpoint) = checkpoint
         {
-            job.progress.save_checkpoint(&spec, &ended.task, checkpoint);
+            job.progress.save_checkpoint(spec, &ended.task, checkpoint);
         }
         let max_failures = (!step.is_lasting).then_some(policy.max_failures);
         let effect = job
             .progress
-            .record_end(&spec, &ended.task, ended.run, kind, max_failures);
+            .record_end(spec, &ended.task, ended.run, kind, max_failures);
+        let estimate_ms = step.estimate_ms;
         // The ends of the other members of a completed gang add no information.
         let level = if effect == EndEffect::Ignored {
             Level::Debug
@@ -212,23 +213,29 @@
         self.metrics.record_run_end(kind);
         let live = job.units.entry(unit.clone()).or_default();
         let mut run_time = None;
-        let mut workers_of_run = Vec::new();
+        // Workers of the runs that this end stops or completes. The ends of further members change nothing for them.
+        let mut workers_of_run: BTreeSet<WorkerRef> = BTreeSet::new();
         for run in &mut live.runs {
-            if run.run == ended.run {
+            let is_ended = run.run == ended.run;
+            if is_ended {
                 run_time = run
                     .all_running_since
                     .filter(|_| run.resumed_from.is_none())
                     .map(|since| now.saturating_duration_since(since));
-                workers_of_run = run
-                    .assignments
-                    .iter()
-                    .map(|assignment| assignment.worker.clone())
-                    .collect();
-                if kind != EndKind::Done {
+            }
+            let is_stopped = if is_ended {
+                kind != EndKind::Done && !run.is_stop_requested && {
+                    run.stop();
+                    true
+                }
+            } else {
+                effect == EndEffect::UnitDone && {
                     run.stop();
+                    true
                 }
-            } else if effect == EndEffect::UnitDone {
-                run.stop();
+            };
+            if is_stopped || is_ended && effect == EndEffect::UnitDone {
+                workers_of_run.extend(run.workers().into_iter().cloned());
             }
         }
         match effect {
@@ -237,13 +244,14 @@
                 if let Some(run_time) = run_time {
                     state
                         .run_times
-                        .observe(&job.record.queue, step.estimate_ms, run_time);
+                        .observe(&job.record.queue, estimate_ms, run_time);
                 }
                 for worker in &workers_of_run {
                     if let Some(worker) = state.workers.get_mut(&worker.id) {
                         worker.health.record_success();
                     }
                 }
+                job.readiness.mark_stale(unit.occurrence);
             }
             EndEffect::Failed { is_exhausted } => {
                 live.failed_on.push(worker.clone());
@@ -260,9 +268,8 @@
             }
             EndEffect::Interrupted | EndEffect::Ignored => {}
         }
-        for worker in workers_of_run {
-            state.pending_notifications.insert(worker.id);
-        }
+        let workers_of_run = workers_of_run.into_iter().map(|worker| worker.id);
+        state.pending_notifications.extend(workers_of_run);
         let is_changed = state.remove_ended_runs(&job_id, &unit) || effect != EndEffect::Ignored;
         self.record_job_end(state, &job_id, now);
         if is_changed {
@@ -284,9 +291,9 @@
                 live_run.stop();
                 workers.extend(
                     live_run
-                        .assignments
-                        .iter()
-                        .map(|assignment| assignment.worker.id.clone()),
+                        .workers()
+                        .into_iter()
+                        .map(|worker| worker.id.clone()),
                 );
             }
         }
@@ -379,7 +386,7 @@
                 "runs lost: {reason}"
             );
         }
-        self.record_lost_runs(worker, lost.iter().map(|(ended, _)| ended));
+        self.record_lost_runs(worker, &lost.iter().map(|(ended, _)| ended).collect());
         for (ended, checkpoint) in lost {
             self.apply_end(worker, &ended, EndKind::Lost, checkpoint.as_deref());
         }
@@ -444,15 +451,9 @@
             live.last_run_ended_at = Some(clock::now());
             self.runs.remove(unit, &ended);
             self.needs_decision = true;
-            let run = ended.run;
-            let has_attempt = job
+            is_changed |= job
                 .progress
-                .unit(unit)
-                .is_some_and(|unit| unit.attempts.iter().any(|attempt| attempt.run == run));
-            if has_attempt {
-                job.progress.close_attempt(unit, run);
-                is_changed = true;
-            }
+                .close_attempt(&job.record.spec, unit, ended.run);
         }
         is_changed
     }
--- a/crates/domain/src/urgency.rs
+++ b/crates/domain/src/urgency.rs
@@ -56,7 +56,12 @@
         let expiry = scaled(objective, EXPIRY_FACTOR).max(objective);
         let mut time_to_deadline = BTreeMap::new();
         let mut time_to_expiry = BTreeMap::new();
-        let occurrences: Vec<Occurrence> = job.units.keys().map(|unit| unit.occurrence).collect();
+        let ready = job.readiness.steps().map(|(occurrence, _, _)| occurrence);
+        let mut occurrences: Vec<Occurrence> = ready
+            .chain(job.units.keys().map(|unit| unit.occurrence))
+            .collect();
+        occurrences.sort_unstable();
+        occurrences.dedup();
         for occurrence in occurrences {
             let age = match &spec.repeat {
                 Some(repeat) => {
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -1,6 +1,8 @@
 //! In-memory store that can be unavailable or reject some writes.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use nutmegwalk_base::Result;
 use nutmegwalk_store::ChangeFeed;
 use nutmegwalk_store::Changes;
+use nutmegwalk_store::Condition;
 use nutmegwalk_store::MemoryStore;
 use nutmegwalk_store::ObjectStore;
 use nutmegwalk_store::Page;
@@ -46,10 +49,21 @@
     pub goes_down_with_next_write: Rc<Cell<bool>>,
     /// Deletions take effect, but their answers are lost, while this is set.
     pub loses_answers_of_deletions: Rc<Cell<bool>>,
+    /// Writes of rows with this prefix are refused for good, as if they were malformed.
+    pub refused_prefix: Rc<RefCell<Option<Box<str>>>>,
+    /// Number of transactions that were refused because of their size.
+    pub oversized_transactions: Rc<Cell<usize>>,
     /// Requests on this connection are never answered.
     is_closed: Rc<Cell<bool>>,
 }
 
+/// Maximum length of a row, in bytes, as on the platform.
+const MAX_ROW_BYTES: usize = 64 << 10;
+/// Maximum number of distinct conditions and writes in a transaction, as on the platform.
+const MAX_ENTRIES: usize = 100;
+/// Maximum length of the values of a transaction, in bytes; the platform encodes them in base64, and accepts 1 MB.
+const MAX_TRANSACTION_BYTES: usize = 750_000;
+
 /// Time for which a deletion that loses the history waits for the pages, and by which it overtakes their answers.
 const DELETION_DELAY: Duration = Duration::from_millis(150);
 
@@ -101,6 +115,42 @@
     }
 }
 
+/// Checks the size of a transaction, which the platform's store limits.
+fn check_size(transaction: &Transaction) -> Result<()> {
+    let conditions: BTreeSet<&str> = transaction
+        .conditions
+        .iter()
+        .map(|condition| match condition {
+            Condition::Absent { key } | Condition::Version { key, .. } => &**key,
+        })
+        .collect();
+    let value_bytes = |write: &Write| match write {
+        Write::Put { value, .. } => value.len(),
+        Write::Delete { .. } => 0,
+    };
+    let longest = transaction.writes.iter().map(value_bytes).max();
+    let sizes = [
+        ("bytes of a row", longest.unwrap_or(0), MAX_ROW_BYTES),
+        (
+            "entries",
+            conditions.len() + transaction.writes.len(),
+            MAX_ENTRIES,
+        ),
+        (
+            "bytes",
+            transaction.writes.iter().map(value_bytes).sum(),
+            MAX_TRANSACTION_BYTES,
+        ),
+    ];
+    match sizes.iter().find(|(_, size, limit)| size > limit) {
+        Some((what, size, limit)) => {
+            let detail = format!("{size} {what} in a transaction; at most {limit} are accepted");
+            Err(Error::new(ErrorKind::BadRequest, detail))
+        }
+        None => Ok(()),
+    }
+}
+
 impl TableStore for EmulatedStore {
     fn transact<'a>(
         &'a self,
@@ -108,9 +158,23 @@
     ) -> LocalBoxFuture<'a, Result<TransactionOutcome>> {
         async move {
             self.check_available().await?;
-            let is_progress = transaction.writes.iter().any(|write| match write {
-                Write::Put { key, .. } | Write::Delete { key } => key.ends_with("/progress"),
-            });
+            if let Err(error) = check_size(transaction) {
+                self.oversized_transactions
+                    .set(self.oversized_transactions.get() + 1);
+                return Err(error);
+            }
+            let writes_row = |is_row: &dyn Fn(&str) -> bool| {
+                transaction.writes.iter().any(|write| match write {
+                    Write::Put { key, .. } | Write::Delete { key } => is_row(key),
+                })
+            };
+            if let Some(prefix) = &*self.refused_prefix.borrow()
+                && writes_row(&|key| key.starts_with(&**prefix))
+            {
+                let detail = "the rows are malformed";
+                return Err(Error::new(ErrorKind::BadRequest, detail));
+            }
+            let is_progress = writes_row(&|key| key.ends_with("/progress"));
             if is_progress && self.rejects_progress_writes.get() {
                 return Err(Error::new(
                     ErrorKind::StoreUnavailable,
@@ -161,6 +225,10 @@
         }
         .boxed_local()
     }
+
+    fn counts_conditions(&self) -> bool {
+        true
+    }
 }
 
 impl ChangeFeed for EmulatedStore {
--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -207,8 +207,8 @@
         } else if row.version > job.progress_version {
             // The version is known also of a row that cannot be read, and a cancellation needs no more.
             job.progress_version = row.version;
-            match serde_json::from_str::<JobProgress>(&row.value) {
-                Ok(progress) => job.progress_state = progress.state,
+            match JobProgress::state_of_row(&row.value) {
+                Ok(state) => job.progress_state = state,
                 Err(error) => {
                     error!(target: event::ROW_UNREADABLE, job = &*id; "cannot read the progress row of a job: {error}")
                 }
--- a/crates/intake/tests/cancel.rs
+++ b/crates/intake/tests/cancel.rs
@@ -69,7 +69,9 @@
         if let Some(state) = state {
             progress.end(state);
         }
-        let text = serde_json::to_string(&progress).expect("progress can be encoded");
+        let text = progress
+            .summary_row(&one_task())
+            .expect("progress can be encoded");
         let row = Transaction::new().with_put(JobRow::Progress.key(JOB_ID), text);
         self.store.memory.apply(&row);
     }
--- a/crates/intake/tests/snapshot.rs
+++ b/crates/intake/tests/snapshot.rs
@@ -126,7 +126,9 @@
     fn complete(&self) {
         let mut progress = JobProgress::new();
         progress.end(JobState::Completed);
-        let text = serde_json::to_string(&progress).expect("progress can be encoded");
+        let text = progress
+            .summary_row(&one_task())
+            .expect("progress can be encoded");
         let row = Transaction::new().with_put(JobRow::Progress.key(JOB_ID), text);
         self.store.memory.apply(&row);
     }
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -22,7 +22,7 @@
     for index in order {
         let step = &snapshot.waiting[index];
         let workers = first_fitting_workers(snapshot, step, &free);
-        if workers.is_empty() || step.is_gang && workers.len() < step.tasks.len() {
+        if workers.is_empty() || step.is_gang && workers.len() < step.tasks.len() as usize {
             continue;
         }
         for worker in &workers {
@@ -30,7 +30,7 @@
         }
         plan.starts.push(Start {
             step: index,
-            assignments: step.tasks.iter().copied().zip(workers).collect(),
+            assignments: step.tasks.iter().zip(workers).collect(),
         });
     }
     plan
@@ -44,7 +44,7 @@
 ) -> Vec<usize> {
     let mut free = free.to_vec();
     let mut workers = Vec::new();
-    for _ in &step.tasks {
+    for _ in step.tasks.iter() {
         let fits = |index: &usize| {
             let worker = &snapshot.workers[*index];
             worker.accepts_tasks && worker.service == step.service && step.demand.fits(free[*index])
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,6 +16,7 @@
 mod rank;
 mod run_time;
 mod stall;
+mod task_list;
 mod view;
 mod withdraw;
 
@@ -26,6 +27,7 @@
 pub use plan::plan;
 pub use run_time::RunTimeEstimates;
 pub use stall::TaskProgress;
+pub use task_list::TaskList;
 pub use view::Plan;
 pub use view::Preemption;
 pub use view::RunningUnit;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -33,6 +33,9 @@
 /// Number of steps for which a future placement is computed; it bounds the time of a decision. Steps covered
 /// by a guarantee are always evaluated.
 const MAX_PLANNED: usize = 12;
+/// Maximum number of tasks that run at a time. It bounds the memory of the owner, which keeps about 1 KB for each of them,
+/// where tasks that need hardly any resources could run in any number.
+const MAX_RUNNING_TASKS: usize = 32_768;
 /// Time for which a step covered by a guarantee waits for runs to end before it preempts others. Together
 /// with the time to store the decision and to stop tasks it stays below the promised reclaim time.
 const RECLAIM_GRACE_PERIOD: Duration = Duration::from_millis(600);
@@ -66,6 +69,8 @@
     /// Positions in [`Snapshot::running`] of the runs that this decision stops.
     stopped_runs: BTreeSet<usize>,
     isolation_rules: IsolationRules,
+    /// Number of tasks that may start in this decision.
+    startable: u32,
     plan: Plan,
 }
 
@@ -103,6 +108,7 @@
             planned: 0,
             stopped_runs: moves.iter().copied().collect(),
             isolation_rules: IsolationRules::new(snapshot),
+            startable: startable_tasks(snapshot),
             plan: Plan {
                 moves,
                 ..Plan::default()
@@ -191,8 +197,12 @@
     /// Starts the tasks that fit now without delaying a step with a higher rank.
     fn start(&mut self, index: usize, remaining: &mut RemainingTasks, locality: Locality) {
         let step = &self.snapshot.waiting[index];
+        if step.is_gang && remaining.tasks > self.startable {
+            return;
+        }
         let free = self.profile.free_during(Duration::ZERO, step.run_time);
-        let workers = self.find_workers(step, &free, remaining, locality);
+        let mut workers = self.find_workers(step, &free, remaining, locality);
+        workers.truncate(self.startable as usize);
         self.start_on(index, remaining, &workers, step.run_time);
     }
 
@@ -210,11 +220,9 @@
         let step = &self.snapshot.waiting[index];
         self.profile
             .allocate(workers, step.demand, Duration::ZERO, duration);
-        let first = step.tasks.len() - remaining.tasks as usize;
-        let assignments = step.tasks[first..]
-            .iter()
-            .copied()
-            .zip(workers.iter().copied());
+        let first = step.tasks.len() - remaining.tasks;
+        let tasks = step.tasks.iter().skip(first as usize);
+        let assignments = tasks.zip(workers.iter().copied());
         self.plan.starts.push(Start {
             step: index,
             assignments: assignments.collect(),
@@ -222,7 +230,9 @@
         for worker in workers {
             self.isolation_rules.record_placed(step, *worker);
         }
+        let before = remaining.tasks;
         remaining.remove_placed(workers);
+        self.startable -= before - remaining.tasks;
     }
 
     /// Returns the earliest placements of the remaining tasks: of all tasks at the same time for a gang, else
@@ -346,7 +356,7 @@
         }
         let free = self.profile.free_during(Duration::ZERO, spread_time);
         let workers = self.find_workers(step, &free, remaining, Locality::Any);
-        if workers.len() < remaining.tasks as usize {
+        if workers.len() < remaining.tasks as usize || remaining.tasks > self.startable {
             return false;
         }
         self.start_on(index, remaining, &workers, spread_time);
@@ -380,6 +390,13 @@
     }
 }
 
+/// Returns how many tasks may start beside those that run.
+fn startable_tasks(snapshot: &Snapshot) -> u32 {
+    let running = snapshot.running.iter().map(|run| run.allocations.len());
+    let startable = MAX_RUNNING_TASKS.saturating_sub(running.sum());
+    u32::try_from(startable).unwrap_or(u32::MAX)
+}
+
 /// Returns whether a step that would otherwise start in `starts_in` may preempt other runs.
 fn may_preempt(step: &WaitingStep, starts_in: Duration) -> bool {
     if step.is_guaranteed {
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::Isolation;
+use crate::TaskList;
 use crate::profile::STOP_TIME;
 use nutmegwalk_base::DataCentreId;
 use nutmegwalk_base::JobId;
@@ -60,8 +61,8 @@
     pub occurrence: Occurrence,
     /// Index of the step in the job.
     pub step: StepIndex,
-    /// Indices of the waiting tasks; all tasks of the step for a gang.
-    pub tasks: Vec<TaskIndex>,
+    /// The waiting tasks; all tasks of the step for a gang.
+    pub tasks: TaskList,
     /// Whether the tasks must start together or not at all.
     pub is_gang: bool,
     /// Service whose workers may run them.
@@ -113,7 +114,7 @@
     /// Returns the number of waiting tasks.
     #[must_use]
     pub fn count(&self) -> u32 {
-        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+        self.tasks.len()
     }
 }
 
--- a/crates/placement/tests/common/load.rs
+++ b/crates/placement/tests/common/load.rs
@@ -566,7 +566,7 @@
             job: index.to_string().into(),
             occurrence: 0,
             step: 0,
-            tasks: job.waiting.clone(),
+            tasks: job.waiting.iter().copied().collect(),
             is_gang: job.is_gang,
             service: "plank-desk".into(),
             demand: job.demand,
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -182,4 +182,17 @@
         let plan = plan(&fixture.snapshot);
         assert_eq!(plan.starts[0].assignments[0].1, 0);
     }
+
+    // Guards against an owner whose memory is used up by tasks that need no resources.
+    tasks_without_demand_start_in_bounded_number => {
+        let mut fixture = Fixture::new(1, 1);
+        for job in ["a", "b", "c", "d", "e", "f"] {
+            let mut tasks = step(job, 8_192, 1);
+            tasks.demand = Default::default();
+            fixture.add_waiting(tasks);
+        }
+        let plan = plan(&fixture.snapshot);
+        let started: usize = plan.starts.iter().map(|start| start.assignments.len()).sum();
+        assert_eq!(started, 32_768);
+    }
 }
--- a/crates/workload/src/crash.rs
+++ b/crates/workload/src/crash.rs
@@ -3,9 +3,6 @@
 //! A worker that crashes takes all its runs with it, so a crash alone does not tell which of them caused it, or
 //! whether any did. The evidence against a task grows with the number of workers that crashed while they ran it.
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::TaskIndex;
 use crate::WorkerRef;
 
@@ -41,22 +38,25 @@
 }
 
 /// A crash of a worker under a task.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 struct Crash {
     task: TaskIndex,
     worker: WorkerRef,
     /// Whether the worker had no other run.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     was_alone: bool,
 }
 
+impl Crash {
+    fn fields(&self) -> (TaskIndex, &WorkerRef, bool) {
+        (self.task, &self.worker, self.was_alone)
+    }
+}
+
 /// Crashes of workers under the tasks of a unit.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CrashHistory {
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<Crash>,
     /// Runs that were lost with their workers, which may have crashed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     lost: Vec<Crash>,
 }
 
@@ -92,6 +92,25 @@
         has_any
     }
 
+    /// Adds a crash that was stored.
+    pub(crate) fn restore_crash(&mut self, task: TaskIndex, worker: &WorkerRef, was_alone: bool) {
+        self.crashes.push(Crash {
+            task,
+            worker: worker.clone(),
+            was_alone,
+        });
+    }
+
+    /// Returns the task and the worker of each crash, and whether the worker had no other run.
+    pub(crate) fn crashed(&self) -> impl Iterator<Item = (TaskIndex, &WorkerRef, bool)> {
+        self.crashes.iter().map(Crash::fields)
+    }
+
+    /// Returns the task and the worker of each lost run, and whether the worker had no other run.
+    pub(crate) fn lost(&self) -> impl Iterator<Item = (TaskIndex, &WorkerRef, bool)> {
+        self.lost.iter().map(Crash::fields)
+    }
+
     /// Removes all evidence, because a run has worked for long enough.
     pub fn clear(&mut self) {
         *self = Self::default();
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -6,10 +6,14 @@
 
 mod crash;
 mod ids;
+mod occurrence_set;
+mod part;
 mod policy;
 mod progress;
+mod progress_rows;
 mod record;
 mod spec;
+mod task_set;
 
 pub use crash::CrashHistory;
 pub use crash::CrashRisk;
@@ -20,6 +24,10 @@
 pub use ids::TaskId;
 pub use ids::TaskIndex;
 pub use ids::UnitId;
+pub use occurrence_set::OccurrenceSet;
+pub use part::MAX_OPEN_OCCURRENCES;
+pub use part::PART_PREFIX;
+pub use part::PartId;
 pub use policy::AdvicePolicy;
 pub use policy::CustomerPolicy;
 pub use policy::JobConfiguration;
@@ -33,9 +41,9 @@
 pub use progress::EndKind;
 pub use progress::JobProgress;
 pub use progress::JobState;
-pub use progress::StepProgress;
 pub use progress::UnitProgress;
 pub use progress::WorkerRef;
+pub use progress_rows::RowError;
 pub use record::JOB_PREFIX;
 pub use record::JobRecord;
 pub use record::JobRow;
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -1,7 +1,10 @@
 //! Progress of a job: the durable part of its state.
+//!
+//! It takes memory for the units that have started and are not done, and one bit for each other one.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -10,11 +13,14 @@
 use crate::CrashRisk;
 use crate::JobSpec;
 use crate::Occurrence;
+use crate::OccurrenceSet;
+use crate::PartId;
 use crate::Run;
 use crate::StepIndex;
-use crate::StepSpec;
 use crate::TaskId;
+use crate::TaskIndex;
 use crate::UnitId;
+use crate::task_set::TaskSet;
 use nutmegwalk_base::WorkerId;
 
 /// One incarnation of a worker. A restarted worker may have the same id as before, but has another start time.
@@ -117,67 +123,40 @@
 }
 
 /// A run of a unit.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Attempt {
     /// Number of the run, shared by the members of a gang.
     pub run: Run,
     /// Whether a task of the run has failed.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub has_failed: bool,
     /// Worker of each task of the unit, in the order of the tasks.
     pub workers: Vec<WorkerRef>,
 }
 
-/// Progress of a unit.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+/// Progress of a unit that has started and is not done.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct UnitProgress {
     /// Number of the last run; 0 before the first one.
-    #[serde(default, skip_serializing_if = "is_zero")]
     pub last_run: Run,
     /// Number of runs that failed.
-    #[serde(default, skip_serializing_if = "is_zero")]
     pub failures: u32,
-    /// Whether the work is done.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_done: bool,
     /// Checkpoint from which the next run resumes.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Box<str>>,
     /// Runs that may have tasks on workers; more than one only for speculative steps.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub attempts: Vec<Attempt>,
     /// Workers that crashed while they had a run.
-    #[serde(default, skip_serializing_if = "CrashHistory::is_empty")]
     pub crash_history: CrashHistory,
 }
 
 /// Progress of a step in one occurrence.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StepProgress {
-    /// Whether all units are done; `units` is empty then.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_done: bool,
-    /// Units in the order of the tasks; empty before the first start and once the step is done.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub units: Vec<UnitProgress>,
-}
-
-impl StepProgress {
-    fn fits(&self, spec: &StepSpec) -> bool {
-        let has_all_units = self.units.len() == spec.unit_count() as usize;
-        let tasks = spec.tasks_per_unit() as usize;
-        (self.units.is_empty() || has_all_units) && self.units.iter().all(|unit| unit.fits(tasks))
-    }
-}
-
-impl UnitProgress {
-    /// Returns whether this can be the progress of a unit with this number of tasks, and a later run has a number.
-    fn fits(&self, tasks: usize) -> bool {
-        let fits = |attempt: &Attempt| {
-            attempt.workers.len() == tasks && (1..=self.last_run).contains(&attempt.run)
-        };
-        self.last_run < Run::MAX && self.attempts.iter().all(fits)
-    }
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct StepProgress {
+    /// Whether all units are done; `done` and `units` are empty then.
+    pub(crate) is_done: bool,
+    /// Units that are done.
+    pub(crate) done: TaskSet,
+    /// Units that have started and are not done, by their index.
+    pub(crate) units: BTreeMap<TaskIndex, UnitProgress>,
 }
 
 /// Effect of a reported end of a run.
@@ -197,22 +176,20 @@
 }
 
 /// Durable progress of a job.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+///
+/// It is stored as the rows that [`JobProgress::summary_row`] and [`JobProgress::part_row`] return.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct JobProgress {
     /// State as reported to the submitter.
     pub state: JobState,
     /// Steps of each occurrence that has started and is not finished.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    occurrences: BTreeMap<Occurrence, Vec<StepProgress>>,
-    /// All occurrences below this one are finished.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    finished_below: Occurrence,
-    /// Finished occurrences that are not below `finished_below`.
-    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
-    finished: BTreeSet<Occurrence>,
+    pub(crate) occurrences: BTreeMap<Occurrence, Vec<StepProgress>>,
+    /// Occurrences of which all tasks are done.
+    pub(crate) finished: OccurrenceSet,
     /// Wall-clock time at which the job ended, in milliseconds since the Unix epoch.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended_unix_ms: Option<u64>,
+    /// Parts that have changed since they were last taken.
+    pub(crate) changed_parts: BTreeSet<PartId>,
 }
 
 impl JobProgress {
@@ -225,13 +202,13 @@
     /// Returns whether all tasks of `occurrence` are done.
     #[must_use]
     pub fn is_finished(&self, occurrence: Occurrence) -> bool {
-        occurrence < self.finished_below || self.finished.contains(&occurrence)
+        self.finished.contains(occurrence)
     }
 
-    /// Returns the first occurrence that is not finished.
+    /// Returns the first occurrence from `from` on that is not finished.
     #[must_use]
-    pub fn first_unfinished(&self) -> Occurrence {
-        self.finished_below
+    pub fn first_unfinished(&self, from: Occurrence) -> Occurrence {
+        self.finished.first_absent(from)
     }
 
     /// Returns whether all units of a step are done.
@@ -240,46 +217,67 @@
         self.is_finished(occurrence) || self.step(occurrence, step).is_some_and(|step| step.is_done)
     }
 
-    /// Returns the progress of a unit; `None` when it was never started or its step is done.
+    /// Returns whether the tasks of a step may start: all its predecessors are done, and it is not done itself.
+    #[must_use]
+    pub fn is_step_ready(&self, spec: &JobSpec, occurrence: Occurrence, step: StepIndex) -> bool {
+        let Some(step_spec) = spec.step(step) else {
+            return false;
+        };
+        !self.state.is_final()
+            && !self.is_step_done(occurrence, step)
+            && step_spec
+                .after
+                .iter()
+                .all(|after| self.is_step_done(occurrence, *after))
+    }
+
+    /// Returns the progress of a unit; `None` when it was never started or is done.
     #[must_use]
     pub fn unit(&self, unit: &UnitId) -> Option<&UnitProgress> {
-        self.step(unit.occurrence, unit.step)?
-            .units
-            .get(unit_index(unit))
+        let step = self.step(unit.occurrence, unit.step)?;
+        step.units.get(&unit_index(unit))
     }
 
     /// Returns whether a unit is done.
     #[must_use]
     pub fn is_unit_done(&self, unit: &UnitId) -> bool {
-        self.is_step_done(unit.occurrence, unit.step)
-            || self.unit(unit).is_some_and(|unit| unit.is_done)
+        self.is_finished(unit.occurrence)
+            || self
+                .step(unit.occurrence, unit.step)
+                .is_some_and(|step| step.is_done || step.done.contains(unit_index(unit)))
     }
 
-    /// Returns the units of `occurrence` whose predecessors are done and that are not done themselves.
-    #[must_use]
-    pub fn ready_units(&self, job: &str, spec: &JobSpec, occurrence: Occurrence) -> Vec<UnitId> {
-        if self.state.is_final() || self.is_finished(occurrence) {
+    /// Returns the indices of the units of a step that are not done, as ranges in ascending order.
+    pub fn open_units(
+        &self,
+        spec: &JobSpec,
+        occurrence: Occurrence,
+        step: StepIndex,
+    ) -> Vec<Range<TaskIndex>> {
+        let Some(step_spec) = spec.step(step) else {
+            return Vec::new();
+        };
+        if self.is_step_done(occurrence, step) {
             return Vec::new();
         }
-        let mut ready = Vec::new();
-        for (step, step_spec) in (0..).zip(&spec.steps) {
-            let is_ready = !self.is_step_done(occurrence, step)
-                && step_spec
-                    .after
-                    .iter()
-                    .all(|after| self.is_step_done(occurrence, *after));
-            if !is_ready {
-                continue;
-            }
-            let units = (0..step_spec.unit_count()).map(|index| UnitId {
-                job: job.into(),
-                occurrence,
-                step,
-                task: (!step_spec.is_gang).then_some(index),
-            });
-            ready.extend(units.filter(|unit| !self.is_unit_done(unit)));
+        let end = step_spec.unit_count();
+        match self.step(occurrence, step) {
+            Some(progress) => progress.done.absent_ranges(end).collect(),
+            None => std::iter::once(0..end).collect(),
         }
-        ready
+    }
+
+    /// Returns the indices of the started units of a step that may crash their workers, with their risk.
+    pub fn risky_units(
+        &self,
+        occurrence: Occurrence,
+        step: StepIndex,
+    ) -> impl Iterator<Item = (TaskIndex, CrashRisk)> {
+        let units = self.step(occurrence, step).into_iter();
+        units
+            .flat_map(|step| &step.units)
+            .map(|(index, unit)| (*index, unit.crash_history.risk()))
+            .filter(|(_, risk)| *risk > CrashRisk::Low)
     }
 
     /// Returns every run that may have tasks on workers.
@@ -292,16 +290,9 @@
             .iter()
             .flat_map(move |(occurrence, steps)| {
                 (0..).zip(steps).flat_map(move |(step, progress)| {
-                    let units = (0..).zip(&progress.units);
-                    units.flat_map(move |(index, unit)| {
+                    progress.units.iter().flat_map(move |(index, unit)| {
                         unit.attempts.iter().map(move |attempt| {
-                            let is_gang = spec.step(step).is_some_and(|step| step.is_gang);
-                            let id = UnitId {
-                                job: job.into(),
-                                occurrence: *occurrence,
-                                step,
-                                task: (!is_gang).then_some(index),
-                            };
+                            let id = spec.unit_at(job, *occurrence, step, *index);
                             (id, attempt)
                         })
                     })
@@ -342,25 +333,25 @@
         if self.state.is_final() || self.is_unit_done(&unit) {
             return EndEffect::Ignored;
         }
-        let progress = self.unit_mut(spec, &unit);
-        let Some(attempt) = progress
-            .attempts
-            .iter_mut()
-            .find(|attempt| attempt.run == run)
-        else {
+        let attempts = self.unit(&unit).map(|progress| &progress.attempts);
+        let attempt = attempts.and_then(|attempts| attempts.iter().find(|known| known.run == run));
+        let Some(attempt) = attempt else {
             return EndEffect::Ignored;
         };
         match kind {
             EndKind::Done => {
-                progress.is_done = true;
-                progress.attempts.clear();
-                progress.checkpoint = None;
-                progress.crash_history.clear();
-                self.finish_step(spec, &unit);
+                self.finish_unit(spec, &unit);
                 EndEffect::UnitDone
             }
             EndKind::Failed if !attempt.has_failed => {
-                attempt.has_failed = true;
+                let progress = self.unit_mut(spec, &unit);
+                for attempt in progress
+                    .attempts
+                    .iter_mut()
+                    .filter(|known| known.run == run)
+                {
+                    attempt.has_failed = true;
+                }
                 progress.failures = progress.failures.saturating_add(1);
                 let is_exhausted = max_failures.is_some_and(|limit| progress.failures >= limit);
                 EndEffect::Failed { is_exhausted }
@@ -373,7 +364,9 @@
     pub fn save_checkpoint(&mut self, spec: &JobSpec, task: &TaskId, checkpoint: &str) {
         if let Some(unit) = spec.unit_of(task)
             && !checkpoint.is_empty()
-            && !self.is_unit_done(&unit)
+            && self
+                .unit(&unit)
+                .is_some_and(|unit| unit.checkpoint.as_deref() != Some(checkpoint))
         {
             self.unit_mut(spec, &unit).checkpoint = Some(checkpoint.into());
         }
@@ -386,12 +379,14 @@
             .map_or(CrashRisk::Low, |unit| unit.crash_history.risk())
     }
 
-    /// Returns the crash history of a unit; `None` when it was never started or its step is done.
-    pub fn crash_history_mut(&mut self, unit: &UnitId) -> Option<&mut CrashHistory> {
-        let steps = self.occurrences.get_mut(&unit.occurrence)?;
-        let step = steps.get_mut(unit.step as usize)?;
-        let progress = step.units.get_mut(unit_index(unit))?;
-        Some(&mut progress.crash_history)
+    /// Returns the crash history of a unit for a change; `None` when it was never started or is done.
+    pub fn crash_history_mut(
+        &mut self,
+        spec: &JobSpec,
+        unit: &UnitId,
+    ) -> Option<&mut CrashHistory> {
+        self.unit(unit)?;
+        Some(&mut self.unit_mut(spec, unit).crash_history)
     }
 
     /// Records that a worker has crashed; returns the units of which runs were lost with it.
@@ -399,49 +394,29 @@
         let mut affected = Vec::new();
         for (occurrence, steps) in &mut self.occurrences {
             for (step, progress) in (0..).zip(steps) {
-                let is_gang = spec.step(step).is_some_and(|step| step.is_gang);
-                for (index, unit) in (0..).zip(&mut progress.units) {
-                    if !unit.is_done && unit.crash_history.record_crash(worker) {
-                        affected.push(UnitId {
-                            job: job.into(),
-                            occurrence: *occurrence,
-                            step,
-                            task: (!is_gang).then_some(index),
-                        });
+                for (index, unit) in &mut progress.units {
+                    if unit.crash_history.record_crash(worker) {
+                        affected.push(spec.unit_at(job, *occurrence, step, *index));
                     }
                 }
             }
         }
+        for unit in &affected {
+            self.changed_parts.extend(spec.parts_of_unit(unit));
+        }
         affected
     }
 
-    /// Removes a run that no longer has tasks on any worker.
-    pub fn close_attempt(&mut self, unit: &UnitId, run: Run) {
-        let Some(steps) = self.occurrences.get_mut(&unit.occurrence) else {
-            return;
-        };
-        let step = steps.get_mut(unit.step as usize);
-        if let Some(progress) = step.and_then(|step| step.units.get_mut(unit_index(unit))) {
-            progress.attempts.retain(|attempt| attempt.run != run);
+    /// Removes a run that no longer has tasks on any worker; returns whether it was known.
+    pub fn close_attempt(&mut self, spec: &JobSpec, unit: &UnitId, run: Run) -> bool {
+        let attempts = self.unit(unit).map(|progress| &progress.attempts);
+        let is_known =
+            attempts.is_some_and(|attempts| attempts.iter().any(|known| known.run == run));
+        if is_known {
+            let attempts = &mut self.unit_mut(spec, unit).attempts;
+            attempts.retain(|attempt| attempt.run != run);
         }
-    }
-
-    /// Returns whether this can be the progress of a job with `spec`. A row of another writer may differ from it in
-    /// the number of steps, units or workers.
-    #[must_use]
-    pub fn fits(&self, spec: &JobSpec) -> bool {
-        let occurrences = spec.occurrences();
-        let is_occurrence = |occurrence: &Occurrence| *occurrence < occurrences;
-        self.finished_below <= occurrences
-            && self.finished.iter().all(is_occurrence)
-            && self.occurrences.keys().all(is_occurrence)
-            && self.occurrences.values().all(|steps| {
-                steps.len() == spec.steps.len()
-                    && steps
-                        .iter()
-                        .zip(&spec.steps)
-                        .all(|(step, step_spec)| step.fits(step_spec))
-            })
+        is_known
     }
 
     /// Ends the job in a final state other than by completion.
@@ -451,46 +426,60 @@
         self.occurrences.clear();
     }
 
-    fn step(&self, occurrence: Occurrence, step: StepIndex) -> Option<&StepProgress> {
+    /// Returns the parts that have changed since the last call.
+    pub fn take_changed_parts(&mut self) -> BTreeSet<PartId> {
+        std::mem::take(&mut self.changed_parts)
+    }
+
+    pub(crate) fn step(&self, occurrence: Occurrence, step: StepIndex) -> Option<&StepProgress> {
         self.occurrences.get(&occurrence)?.get(step as usize)
     }
 
-    /// Returns the progress of a unit, and creates that of its occurrence and step if needed.
-    fn unit_mut(&mut self, spec: &JobSpec, unit: &UnitId) -> &mut UnitProgress {
+    /// Returns the progress of a step, and creates that of its occurrence if needed.
+    pub(crate) fn step_mut(
+        &mut self,
+        spec: &JobSpec,
+        occurrence: Occurrence,
+        step: StepIndex,
+    ) -> &mut StepProgress {
         let steps = self
             .occurrences
-            .entry(unit.occurrence)
+            .entry(occurrence)
             .or_insert_with(|| vec![StepProgress::default(); spec.steps.len()]);
-        let step = &mut steps[unit.step as usize];
-        if step.units.is_empty() {
-            let count = spec.steps[unit.step as usize].unit_count() as usize;
-            step.units = vec![UnitProgress::default(); count];
-        }
-        &mut step.units[unit_index(unit)]
+        &mut steps[step as usize]
     }
 
-    /// Marks the unit's step, its occurrence and the job as done if all their parts are done.
-    fn finish_step(&mut self, spec: &JobSpec, unit: &UnitId) {
-        let Some(steps) = self.occurrences.get_mut(&unit.occurrence) else {
-            return;
-        };
-        let step = &mut steps[unit.step as usize];
-        if !step.units.iter().all(|unit| unit.is_done) {
+    /// Returns the progress of a unit that is not done for a change, and creates it if needed.
+    fn unit_mut(&mut self, spec: &JobSpec, unit: &UnitId) -> &mut UnitProgress {
+        self.changed_parts.extend(spec.parts_of_unit(unit));
+        let step = self.step_mut(spec, unit.occurrence, unit.step);
+        step.units.entry(unit_index(unit)).or_default()
+    }
+
+    /// Marks a unit as done, and its step, its occurrence and the job if all their parts are done.
+    fn finish_unit(&mut self, spec: &JobSpec, unit: &UnitId) {
+        self.changed_parts.extend(spec.parts_of_unit(unit));
+        let unit_count = spec.steps[unit.step as usize].unit_count();
+        let step = self.step_mut(spec, unit.occurrence, unit.step);
+        step.units.remove(&unit_index(unit));
+        step.done.insert(unit_index(unit));
+        if step.done.len() < unit_count {
             return;
         }
         *step = StepProgress {
             is_done: true,
-            units: Vec::new(),
+            ..StepProgress::default()
         };
-        if !steps.iter().all(|step| step.is_done) {
+        let is_finished = self
+            .occurrences
+            .get(&unit.occurrence)
+            .is_some_and(|steps| steps.iter().all(|step| step.is_done));
+        if !is_finished {
             return;
         }
         self.occurrences.remove(&unit.occurrence);
         self.finished.insert(unit.occurrence);
-        while self.finished.remove(&self.finished_below) {
-            self.finished_below += 1;
-        }
-        if self.finished_below >= spec.occurrences() {
+        if self.finished.first_absent(0) >= spec.occurrences() {
             self.state = JobState::Completed;
         }
     }
@@ -509,17 +498,27 @@
             task: (!step.is_gang).then_some(task.index),
         })
     }
-}
 
-/// Returns the index of a unit within its step.
-fn unit_index(unit: &UnitId) -> usize {
-    unit.task.unwrap_or(0) as usize
+    /// Returns the id of the unit with this index in its step, which is 0 for a gang.
+    #[must_use]
+    pub fn unit_at(
+        &self,
+        job: &str,
+        occurrence: Occurrence,
+        step: StepIndex,
+        index: TaskIndex,
+    ) -> UnitId {
+        let is_gang = self.step(step).is_some_and(|step| step.is_gang);
+        UnitId {
+            job: job.into(),
+            occurrence,
+            step,
+            task: (!is_gang).then_some(index),
+        }
+    }
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes a reference"
-)]
-fn is_zero(value: &u32) -> bool {
-    *value == 0
+/// Returns the index of a unit within its step.
+pub(crate) fn unit_index(unit: &UnitId) -> TaskIndex {
+    unit.task.unwrap_or(0)
 }
--- a/crates/workload/src/spec.rs
+++ b/crates/workload/src/spec.rs
@@ -8,7 +8,8 @@
 use crate::StepIndex;
 use nutmegwalk_base::RackId;
 
-/// Maximum number of tasks of a job over all its steps. A longer list would not fit into one row of the store.
+/// Maximum number of tasks of a job over all its steps. A gang of that size starts with few transactions, and the owner keeps
+/// about 1 KB for each task that runs.
 pub const MAX_SPEC_TASKS: u32 = 8_192;
 /// Maximum number of steps of a job.
 const MAX_STEPS: usize = 256;
--- a/crates/workload/tests/crash_history.rs
+++ b/crates/workload/tests/crash_history.rs
@@ -118,11 +118,13 @@
         };
         let mut progress = JobProgress::new();
         progress.start_run(&spec, &unit(), vec![worker(1)]);
-        let encode = |progress: &JobProgress| serde_json::to_string(progress).expect("progress");
-        assert!(!encode(&progress).contains("crash"));
-        let lost = progress.crash_history_mut(&unit()).expect("a started unit");
+        let encode = |progress: &JobProgress| progress.summary_row(&spec).expect("progress");
+        let before = encode(&progress);
+        assert!(!before.contains("crash") && !before.contains("lost"));
+        let lost = progress.crash_history_mut(&spec, &unit()).expect("a started unit");
         lost.record_lost(0, &worker(1), false);
-        let mut read: JobProgress = serde_json::from_str(&encode(&progress)).expect("progress");
+        let row = encode(&progress);
+        let mut read = JobProgress::from_rows(&spec, &row, []).expect("progress");
         assert_eq!(read.record_crash("a", &spec, &worker(1)), vec![unit()]);
         assert_eq!(read.crash_risk(&unit()), CrashRisk::Raised);
     }
