Send the starts and stops of a worker in messages of a bounded size

What could be seen: a job of 1,200 tasks that fit on one worker at once, with a payload of 8 KB, is accepted and never begins.

Further places where the cost grew with the square of the members of a gang or the runs of a worker: each end and each answer to a start copied and woke all workers of the gang; each stop was followed by a poll of its own that lists all runs of the worker; a report was compared run by run.

Change: a message carries up to 128 starts and 128 stops, and no further start after 1 MiB of payloads; the others follow when it is answered. The agent has 32 requests to its worker in flight at a time, and polls once for all stops of a message.

--- a/crates/assembly/tests/large_jobs.rs
+++ b/crates/assembly/tests/large_jobs.rs
@@ -90,6 +90,16 @@
         domain.assert_no_violations();
     }
 
+    // Guards against orders that no agent accepts, as the starts of one worker do not fit into a message.
+    starts_that_exceed_a_message_are_sent_in_several => {
+        let domain = TestDomain::start(1).await;
+        let mut spec = small_tasks(job(1_200, 300));
+        spec.payload = format!("{} {}", spec.payload, "x".repeat(8_000)).into();
+        domain.submit("normal", "large", spec).await;
+        complete(&domain, "normal", "large").await;
+        domain.assert_no_violations();
+    }
+
     // Guards against a job whose progress the store refuses for good keeping the resources of runs that never start.
     job_whose_progress_is_refused_holds_up_no_other => {
         let domain = TestDomain::start(1).await;
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -9,6 +9,7 @@
 
 use crate::job::AssignedAfter;
 use crate::job::AssignmentState;
+use crate::job::LiveRun;
 use crate::job::StopState;
 use crate::term::State;
 use crate::term::Term;
@@ -33,6 +34,10 @@
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a message that the agent did not answer, or a stop that the worker did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Maximum number of starts in one message, and of stops. The agent carries them out within [`ORDERS_TIMEOUT`].
+const MAX_ORDERS_PER_MESSAGE: usize = 128;
+/// Length of the payloads, in bytes, from which no further start is added to a message.
+const MAX_PAYLOAD_BYTES: usize = 1 << 20;
 /// Interval at which the orders of a worker are checked without a signal.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -156,6 +161,7 @@
             .filter(|(_, run)| run.needs_stop(now))
             .map(|(run, _)| run.clone())
             .collect();
+        stops.truncate(MAX_ORDERS_PER_MESSAGE);
         collect_orders(&state, worker, &mut starts, &mut stops);
         let permitted_until = self
             .starts_permitted_until()
@@ -206,11 +212,7 @@
         match result.outcome {
             TaskOutcome::Done => {
                 self.with_run(&result.run, |run| {
-                    let index = result.run.task.index;
-                    if let Some(assignment) = run
-                        .assignments
-                        .iter_mut()
-                        .find(|assignment| assignment.index == index)
+                    if let Some(assignment) = run.assignment_mut(result.run.task.index)
                         && assignment.state == AssignmentState::Ordered
                     {
                         assignment.enter(AssignmentState::Running, now);
@@ -273,12 +275,7 @@
         match result.outcome {
             TaskOutcome::Done => {
                 self.with_run(&result.run, |run| {
-                    let index = result.run.task.index;
-                    if let Some(assignment) = run
-                        .assignments
-                        .iter_mut()
-                        .find(|assignment| assignment.index == index)
-                    {
+                    if let Some(assignment) = run.assignment_mut(result.run.task.index) {
                         assignment.stop = StopState::Accepted(now);
                     }
                 });
@@ -317,8 +314,8 @@
         }
     }
 
-    /// Applies a change to a run, if it is known, and marks the dispatchers of its workers to be woken.
-    fn with_run(&self, run: &TaskRun, change: impl FnOnce(&mut crate::job::LiveRun)) {
+    /// Applies a change to a run, if it is known. No orders may follow from it.
+    fn with_run(&self, run: &TaskRun, change: impl FnOnce(&mut LiveRun)) {
         let mut state = self.state.borrow_mut();
         let Some(job) = state.jobs.get_mut(&run.task.job) else {
             return;
@@ -326,31 +323,23 @@
         let Some(unit) = job.record.spec.unit_of(&run.task) else {
             return;
         };
-        let live = job.units.get_mut(&unit);
-        let mut workers = Vec::new();
-        if let Some(live) =
-            live.and_then(|live| live.runs.iter_mut().find(|live| live.run == run.run))
-        {
+        let runs = job.units.get_mut(&unit).map(|live| &mut live.runs);
+        let mut runs = runs.into_iter().flatten();
+        if let Some(live) = runs.find(|live| live.run == run.run) {
             change(live);
-            workers.extend(
-                live.assignments
-                    .iter()
-                    .map(|assignment| assignment.worker.id.clone()),
-            );
-        }
-        for worker in workers {
-            state.queue_notification(&worker);
         }
     }
 }
 
-/// Collects the orders for a worker.
+/// Collects orders for a worker, as many as one message may contain. The others follow once these are answered.
 fn collect_orders(
     state: &State,
     worker: &WorkerRef,
     starts: &mut BTreeMap<(UnitId, Run), StartOrder>,
     stops: &mut Vec<TaskRun>,
 ) {
+    let mut starting = 0;
+    let mut payload_bytes = 0;
     for (unit, run, assignment) in state.assignments_on(worker) {
         let Some(job) = state.jobs.get(&unit.job) else {
             continue;
@@ -358,27 +347,34 @@
         if assignment.state == AssignmentState::Ended {
             continue;
         }
-        if assignment.stop == StopState::Requested {
+        if assignment.stop == StopState::Requested && stops.len() < MAX_ORDERS_PER_MESSAGE {
             stops.push(TaskRun {
                 task: unit.task_id(assignment.index),
                 run: run.run,
             });
-        } else if assignment.state == AssignmentState::Ordered && assignment.stop == StopState::None
+        } else if assignment.state == AssignmentState::Ordered
+            && assignment.stop == StopState::None
+            && starting < MAX_ORDERS_PER_MESSAGE
+            && payload_bytes < MAX_PAYLOAD_BYTES
         {
+            starting += 1;
             let key = (unit.clone(), run.run);
-            let order = starts.entry(key).or_insert_with(|| StartOrder {
-                job: unit.job.clone(),
-                occurrence: unit.occurrence,
-                step: unit.step,
-                tasks: Vec::new(),
-                run: run.run,
-                payload: job.record.spec.payload.clone(),
-                checkpoint: run.resumed_from.clone(),
-                ticket: None,
-                known_lapse_ms: match assignment.assigned_after {
-                    AssignedAfter::Lapse(known_ms) => known_ms,
-                    AssignedAfter::EarlierTerm => None,
-                },
+            let order = starts.entry(key).or_insert_with(|| {
+                payload_bytes += job.record.spec.payload.len();
+                StartOrder {
+                    job: unit.job.clone(),
+                    occurrence: unit.occurrence,
+                    step: unit.step,
+                    tasks: Vec::new(),
+                    run: run.run,
+                    payload: job.record.spec.payload.clone(),
+                    checkpoint: run.resumed_from.clone(),
+                    ticket: None,
+                    known_lapse_ms: match assignment.assigned_after {
+                        AssignedAfter::Lapse(known_ms) => known_ms,
+                        AssignedAfter::EarlierTerm => None,
+                    },
+                }
             });
             order.tasks.push(assignment.index);
         }
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::stream;
+use futures_util::stream::StreamExt;
 use log::info;
 use log::warn;
 
@@ -32,6 +33,8 @@
 const MAX_ORDER_TRIES: u32 = 4;
 /// Timeout of one try of an order; the worker is on the same host.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum number of orders in flight to the worker, each on a connection of its own.
+const MAX_PARALLEL_REQUESTS: usize = 32;
 /// Time after an accepted stop within which the run ends; the platform allows 200 ms.
 const MAX_STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -44,14 +47,12 @@
     pub async fn execute(&self, orders: Orders) -> Result<OrdersAnswer> {
         self.accept_orders(&orders)?;
         let inner = &*self.inner;
-        let stops = join_all(orders.stops.iter().map(|run| inner.stop(&orders, run))).await;
-        let starts = join_all(orders.starts.iter().flat_map(|order| {
-            order
-                .tasks
-                .iter()
-                .map(|index| inner.start(&orders, order, *index))
-        }))
-        .await;
+        let stops = inner.stop_all(&orders).await;
+        let starts = orders.starts.iter().flat_map(|order| {
+            let tasks = order.tasks.iter();
+            tasks.map(|index| inner.start(&orders, order, *index))
+        });
+        let starts = in_parallel(starts).await;
         for pace in &orders.paces {
             let request = inner
                 .port
@@ -220,9 +221,41 @@
         }
     }
 
-    /// Stops one run and determines whether it was on the worker.
-    async fn stop(&self, orders: &Orders, run: &TaskRun) -> StartResult {
-        let mut outcome = TaskOutcome::Unknown;
+    /// Stops runs and determines whether they were on the worker.
+    async fn stop_all(&self, orders: &Orders) -> Vec<StartResult> {
+        let requests = orders.stops.iter().map(|run| self.stop(orders, run));
+        let mut outcomes = in_parallel(requests).await;
+        if outcomes.contains(&None) {
+            // One list shows the effect of all accepted stops.
+            let is_listed = self.poll_after_stops(orders).await;
+            for (outcome, run) in outcomes.iter_mut().zip(&orders.stops) {
+                if outcome.is_none() {
+                    *outcome = Some(match is_listed {
+                        Ok(()) => self.outcome_of_stop(&orders.worker, run),
+                        Err(outcome) => outcome,
+                    });
+                }
+            }
+        }
+        let runs = orders.stops.iter().cloned();
+        runs.zip(outcomes)
+            .map(|(run, outcome)| {
+                let outcome = outcome.unwrap_or(TaskOutcome::Unknown);
+                info!(target: event::STOP_CARRIED_OUT,
+                    task:% = run.task,
+                    run = run.run,
+                    epoch = orders.epoch,
+                    worker = &*orders.worker.id,
+                    outcome = outcome.name();
+                    ""
+                );
+                StartResult { run, outcome }
+            })
+            .collect()
+    }
+
+    /// Sends the order to stop one run; returns `None` if the worker has accepted it.
+    async fn stop(&self, orders: &Orders, run: &TaskRun) -> Option<TaskOutcome> {
         for _ in 0..MAX_ORDER_TRIES {
             match with_timeout(
                 ORDER_TIMEOUT,
@@ -230,66 +263,55 @@
             )
             .await
             {
-                Ok(()) => {
-                    outcome = self.outcome_of_stop(&orders.worker, run).await;
-                    break;
-                }
+                Ok(()) => return None,
                 Err(error) if error.kind == ErrorKind::StaleEpoch => {
-                    outcome = TaskOutcome::Refused(Refusal::StaleEpoch);
-                    break;
+                    return Some(TaskOutcome::Refused(Refusal::StaleEpoch));
                 }
                 Err(error) if error.kind == ErrorKind::NotFound => {
-                    outcome = TaskOutcome::Refused(Refusal::OtherWorker);
-                    break;
+                    return Some(TaskOutcome::Refused(Refusal::OtherWorker));
                 }
                 Err(error) => {
                     warn!(target: event::WORKER_UNANSWERED, task:% = run.task, run = run.run; "no answer to a stop: {error}");
                 }
             }
         }
-        info!(target: event::STOP_CARRIED_OUT,
-            task:% = run.task,
-            run = run.run,
-            epoch = orders.epoch,
-            worker = &*orders.worker.id,
-            outcome = outcome.name();
-            ""
-        );
-        StartResult {
-            run: run.clone(),
-            outcome,
-        }
+        Some(TaskOutcome::Unknown)
     }
 
-    /// Returns whether the run is not listed, in a list from which entries were left out.
-    fn may_be_unreadable(&self, run: &TaskRun) -> bool {
+    /// Returns whether one of the runs is not listed, in a list from which entries were left out.
+    fn may_be_unreadable(&self, runs: &[TaskRun]) -> bool {
         let state = self.state.borrow();
-        state
-            .worker
-            .as_ref()
-            .is_some_and(|worker| worker.is_incomplete && !worker.has_run(run))
+        state.worker.as_ref().is_some_and(|worker| {
+            worker.is_incomplete && runs.iter().any(|run| !worker.has_run(run))
+        })
     }
 
-    /// Polls the worker after it has accepted a stop. The outcome is `Done` if the run is among the ends, or is
-    /// still running and ends soon, and `Absent` if the worker does not have it.
-    async fn outcome_of_stop(&self, addressed: &WorkerRef, run: &TaskRun) -> TaskOutcome {
+    /// Polls the worker after it has accepted stops, so that its list shows their effect.
+    async fn poll_after_stops(&self, orders: &Orders) -> Result<(), TaskOutcome> {
+        let addressed = &orders.worker;
         let request = {
             let state = self.state.borrow();
             match &state.worker {
                 Some(worker) if worker.worker() == addressed => {
                     state.poll_request(worker, &self.timings, Duration::ZERO)
                 }
-                _ => return TaskOutcome::Refused(Refusal::OtherWorker),
+                _ => return Err(TaskOutcome::Refused(Refusal::OtherWorker)),
             }
         };
         if let Err(error) = self.poll_worker(&request).await {
-            warn!(target: event::WORKER_SILENT, task:% = run.task, run = run.run; "cannot poll the worker after a stop: {error}");
-            return TaskOutcome::Unknown;
+            warn!(target: event::WORKER_SILENT, worker = &*addressed.id; "cannot poll the worker after a stop: {error}");
+            return Err(TaskOutcome::Unknown);
         }
-        if self.may_be_unreadable(run) {
-            // The run may be listed in an entry that cannot be read, until its stop has taken effect.
+        if self.may_be_unreadable(&orders.stops) {
+            // A run may be listed in an entry that cannot be read, until its stop has taken effect.
             compio::time::sleep(MAX_STOP_TIME).await;
         }
+        Ok(())
+    }
+
+    /// Returns the outcome of an accepted stop from the list made after it. It is `Done` if the run is among the ends, or
+    /// is still running and ends soon, and `Absent` if the worker does not have it.
+    fn outcome_of_stop(&self, addressed: &WorkerRef, run: &TaskRun) -> TaskOutcome {
         let state = self.state.borrow();
         match &state.worker {
             Some(worker) if worker.worker() == addressed && !worker.has_run(run) => {
@@ -305,6 +327,14 @@
     }
 }
 
+/// Awaits requests to the worker, [`MAX_PARALLEL_REQUESTS`] at a time, and returns the results in their order.
+async fn in_parallel<T>(requests: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    stream::iter(requests)
+        .buffered(MAX_PARALLEL_REQUESTS)
+        .collect()
+        .await
+}
+
 /// Returns the outcome of a start that was refused at last. `may_start` tells whether an earlier try may still take
 /// effect.
 fn refused(refusal: Refusal, may_start: bool) -> TaskOutcome {
