Refuse a job that no row can hold with its reason

What callers saw: a job whose row exceeds `platform.rowBytes`, as its `spec` or its steps are too long, got a bare 400 after a round trip to the store, and a batch with it was sent again item by item.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -36,6 +36,8 @@
     pub store_deadline: Duration,
     /// Age of the view of jobs beyond which it is not used to count pending jobs.
     pub max_view_age: Duration,
+    /// Maximum length of a row of the store, in bytes.
+    pub max_row_bytes: usize,
 }
 
 impl Default for IntakeSettings {
@@ -43,6 +45,7 @@
         Self {
             store_deadline: Duration::from_millis(1_800),
             max_view_age: Duration::from_millis(4_000),
+            max_row_bytes: 64 << 10,
         }
     }
 }
@@ -51,6 +54,9 @@
 /// the caller still has time to try another host.
 const STORE_DEADLINE_SHARE: f64 = 0.45;
 
+/// Part of a row, in bytes, that the store client may add to it.
+const ROW_MARGIN_BYTES: usize = 256;
+
 /// Maximum number of attempts to store a cancellation, each based on the latest progress of the job. Progress
 /// changes when runs start or end; the time between two changes is usually far longer than an attempt.
 const MAX_CANCEL_ATTEMPTS: usize = 4;
@@ -91,7 +97,7 @@
     ///
     /// # Errors
     /// `store_unavailable` when the job was not accepted and will never run, `store_unknown` when it is unknown
-    /// whether it was accepted, `bad_request` when it is malformed, `unsupported` when the queue restricts its
+    /// whether it was accepted, `bad_request` when it is malformed, `too_large` when no row can hold it, `unsupported` when the queue restricts its
     /// workers by advice, `forbidden` when the id belongs to another customer.
     pub async fn submit(
         &self,
@@ -135,6 +141,14 @@
         let key = JobRow::Accepted.key(id);
         let value = serde_json::to_string(&record)
             .map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
+        let max_bytes = self.settings.max_row_bytes.saturating_sub(ROW_MARGIN_BYTES);
+        if value.len() > max_bytes {
+            let detail = format!(
+                "the job takes {} bytes, and {max_bytes} bytes can be stored",
+                value.len()
+            );
+            return Err(Error::new(ErrorKind::TooLarge, detail));
+        }
         let transaction = Transaction::new()
             .with_absent(key.clone())
             .with_put(key, value);
--- a/crates/intake/tests/submit.rs
+++ b/crates/intake/tests/submit.rs
@@ -97,6 +97,18 @@
         assert_eq!(host.submit_in_vain().await.outcome(), Outcome::Unknown);
     }
 
+    // Guards against a job that is accepted although no row can hold it, or refused without a reason.
+    job_that_no_row_can_hold_is_refused_with_the_reason => {
+        let host = Host::new(&EmulatedStore::new());
+        let mut spec = one_task();
+        spec.payload = "x".repeat(70_000).into();
+        let result = host.intake.submit(&host.caller, JOB_ID, spec, SHORT_LIMIT).await;
+        let error = result.expect_err("the job is too large");
+        assert_eq!(error.kind, ErrorKind::TooLarge);
+        assert!(error.detail.contains("bytes can be stored"), "{error}");
+        assert!(!host.is_stored());
+    }
+
     // Guards against callers that are kept asking for a job that no attempt can have stored.
     submission_that_reaches_no_store_is_answered_as_not_run => {
         let host = Host::new(&EmulatedStore::new());
