Attribute failures to jobs or workers before a worker is closed

Cause: each failed run counted against its worker alone. Two in a row started a quarantine, and each further failure the next one of double length, also when eight tasks of one job ended together: 4, 8, 16 and 30 s within milliseconds. Nothing bounded the share of closed workers, and covered jobs were shut out as well.

Change: the failures of the last minute are seen together as pairs of a job and a worker. What explains most of them is guilty: a job that failed on several workers, or a worker on which several jobs failed. A worker is closed only for causes that are not explained by jobs, is opened again when they turn out to be, and failures of runs that began before a quarantine do not prolong it. At most a fifth of the workers of a service are closed, one at least where there are others. A covered task that finds no other place in time uses a closed worker. A task that lasts and is past its startup may fail at any time without a fault of its worker. Stalled runs and malformed starts are attributed in the same way; orders that a worker does not carry out still count against it alone.

--- a/crates/assembly/tests/common/mod.rs
+++ b/crates/assembly/tests/common/mod.rs
@@ -219,6 +219,8 @@
     links: Arc<TestLinks>,
     next_worker: Cell<usize>,
     ended_job_retention: Duration,
+    /// Metrics of all processes.
+    metrics: Metrics,
     _entry_task: JoinHandle<()>,
 }
 
@@ -258,6 +260,7 @@
         store.memory.apply(&configuration);
         let events = EventLog::default();
         let gangs = GangRegistry::default();
+        let metrics = Metrics::new().expect("metrics");
         let hosts = (0..count)
             .map(|number| Host {
                 worker: EmulatedWorker::new(
@@ -274,7 +277,7 @@
             .collect();
         let entry = Rc::new(DomainEntry::new(
             entry_settings(),
-            &ports("entry", &store, &links),
+            &ports("entry", &store, &links, &metrics),
         ));
         let running = Rc::clone(&entry);
         let entry_task = compio::runtime::spawn(async move { running.run(Drain::new()).await });
@@ -286,6 +289,7 @@
             links,
             next_worker: Cell::new(count),
             ended_job_retention,
+            metrics,
             _entry_task: entry_task,
         };
         for host in 0..count {
@@ -305,9 +309,13 @@
         let port = Rc::new(EmulatedPort::new(Rc::clone(&host.worker)));
         let mut settings = agent_settings(&host.name, listen);
         settings.domain.ended_job_retention = self.ended_job_retention;
-        let agent = DomainAgent::bind(settings, ports(&host.name, &store, &self.links), port)
-            .await
-            .expect("a free port");
+        let agent = DomainAgent::bind(
+            settings,
+            ports(&host.name, &store, &self.links, &self.metrics),
+            port,
+        )
+        .await
+        .expect("a free port");
         let supervisor = agent.supervisor();
         *host.supervisor.borrow_mut() = Some(supervisor);
         self.resume_heartbeats(number);
@@ -564,6 +572,16 @@
     }
 
     /// Fails the test if a task ran twice at the same time, or again after its success was acknowledged, or if a
+    /// Returns how often a worker was put into quarantine.
+    pub(crate) fn quarantines(&self) -> u64 {
+        let text = self.metrics.to_text().expect("metrics can be encoded");
+        let text = String::from_utf8(text).expect("metrics are text");
+        let name = "nutmegwalk_workers_set_aside";
+        let line = text.lines().find(|line| line.starts_with(name));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.map_or(0, |value| value.parse().expect("a count"))
+    }
+
     /// worker was given more than its capacity.
     pub(crate) fn assert_no_violations(&self) {
         let violations = self.events.violations();
@@ -578,7 +596,7 @@
     setup
 }
 
-fn ports(name: &str, store: &EmulatedStore, links: &Arc<TestLinks>) -> Ports {
+fn ports(name: &str, store: &EmulatedStore, links: &Arc<TestLinks>, metrics: &Metrics) -> Ports {
     let client = Client::new(name, Secret::new(""))
         .expect("HTTP client")
         .with_faults(Arc::clone(links) as Arc<dyn LinkFaults>);
@@ -587,7 +605,7 @@
         Rc::new(TestRows),
         client,
         Secret::new(""),
-        Metrics::new().expect("metrics"),
+        metrics.clone(),
     )
 }
 
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -153,6 +153,8 @@
     WORKER_STATE = "worker_state";
     /// A worker is quarantined: it gets no tasks for a while.
     WORKER_SET_ASIDE = "worker_set_aside";
+    /// A worker is not quarantined although runs fail there, because too many others are.
+    WORKER_KEPT_OPEN = "worker_kept_open";
     /// An agent has received the first heartbeat of its worker.
     WORKER_ANNOUNCED = "worker_announced";
     /// A later incarnation of a worker has started, and the one before had not announced its end.
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -230,8 +230,15 @@
                     reason = refusal.name();
                     ""
                 );
-                if matches!(refusal, Refusal::Unhealthy | Refusal::Malformed) {
-                    self.record_worker_failure(worker);
+                match refusal {
+                    Refusal::Unhealthy => self.record_worker_failure(worker),
+                    // The worker may reject what the job asks for.
+                    Refusal::Malformed => {
+                        let job = &result.run.task.job;
+                        let mut state = self.state.borrow_mut();
+                        self.record_run_failure(&mut state, worker, job, now);
+                    }
+                    _ => {}
                 }
                 if self.is_refusal_final(&result.run, refusal) {
                     self.apply_end(worker, &result.run, EndKind::Lost, None);
@@ -292,16 +299,6 @@
         }
     }
 
-    /// Records that a worker did not start a task or made no progress, which can start a quarantine.
-    pub(crate) fn record_worker_failure(&self, worker: &WorkerRef) {
-        if let Some(known) = self.state.borrow_mut().workers.get_mut(&worker.id)
-            && known.health.record_failure(clock::now())
-        {
-            self.metrics.record_quarantine();
-            warn!(target: event::WORKER_SET_ASIDE, worker = &*worker.id; "worker quarantined: it does not carry out orders or makes no progress");
-        }
-    }
-
     /// Stops the run that a task belongs to.
     fn stop_task(&self, run: &TaskRun) {
         let unit = {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod directory;
 mod dispatch;
+mod health;
 mod job;
 mod metrics;
 mod monitor;
--- a/crates/domain/src/monitor.rs
+++ b/crates/domain/src/monitor.rs
@@ -76,14 +76,22 @@
             workers = names.join(" ").as_str();
             "the run makes no progress, stopping it"
         );
-        if let Some(job) = self.state.borrow_mut().jobs.get_mut(&unit.job)
-            && let Some(live) = job.units.get_mut(unit)
         {
-            live.failed_on.extend_from_slice(workers);
-        }
-        // The members of a gang stall together, so the worker that caused it cannot be identified.
-        if let [worker] = workers {
-            self.record_worker_failure(worker);
+            let mut state = self.state.borrow_mut();
+            let mut started_at = clock::now();
+            if let Some(job) = state.jobs.get_mut(&unit.job)
+                && let Some(live) = job.units.get_mut(unit)
+            {
+                live.failed_on.extend_from_slice(workers);
+                let stalled = live.runs.iter().find(|live| live.run == run);
+                started_at = stalled
+                    .and_then(|live| live.all_running_since)
+                    .unwrap_or(started_at);
+            }
+            // The members of a gang stall together, so the worker that caused it cannot be identified.
+            if let [worker] = workers {
+                self.record_run_failure(&mut state, worker, &unit.job, started_at);
+            }
         }
         self.stop_run(unit, run);
     }
--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -148,7 +148,7 @@
             metrics: self.metrics.clone(),
             started_at: clock::now(),
             wall_clock: WallClock::new(),
-            state: RefCell::new(State::default()),
+            state: RefCell::new(State::new(self.settings.health)),
             wake,
             is_loaded: Cell::new(false),
             has_decided: Cell::new(false),
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -258,7 +258,7 @@
         snapshot
             .workers
             .iter()
-            .filter(|worker| worker.accepts_tasks)
+            .filter(|worker| worker.accepts_tasks && !worker.is_quarantined)
     };
     let waiting = snapshot.waiting.iter();
     let workers_open = open().count();
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -24,7 +24,6 @@
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
-use nutmegwalk_placement::WorkerHealth;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::RunningTask;
@@ -147,7 +146,6 @@
                 pending_ends: BTreeMap::new(),
                 acknowledged: 0,
                 unexpected_runs: BTreeMap::new(),
-                health: WorkerHealth::new(self.settings.health),
                 orders: Signal::new(),
                 leaves_at: None,
                 unreachable_since: None,
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -16,6 +16,7 @@
 use crate::worker::Worker;
 use nutmegwalk_base::CustomerId;
 use nutmegwalk_base::JobId;
+use nutmegwalk_placement::DomainHealth;
 use nutmegwalk_placement::Isolation;
 use nutmegwalk_placement::RunningUnit;
 use nutmegwalk_placement::Snapshot;
@@ -59,7 +60,7 @@
             workers: state
                 .workers
                 .values()
-                .map(|worker| self.worker_view(worker, now))
+                .map(|worker| self.worker_view(worker, &state.health, now))
                 .collect(),
             waiting: Vec::new(),
             running: Vec::new(),
@@ -111,7 +112,7 @@
     }
 
     /// Returns the state of a worker with only unexpected runs allocated.
-    fn worker_view(&self, worker: &Worker, now: Instant) -> WorkerView {
+    fn worker_view(&self, worker: &Worker, health: &DomainHealth, now: Instant) -> WorkerView {
         let announcement = &worker.announcement;
         let allocated = worker
             .unexpected_runs
@@ -129,8 +130,8 @@
             allocated,
             accepts_tasks: is_ready
                 && worker.is_responsive(now)
-                && !worker.health.is_quarantined(now)
                 && !self.policy.is_out_of_service(&announcement.data_centre),
+            is_quarantined: health.is_quarantined(&announcement.worker, now),
             slowdown_factor: 1.0,
             leaves_in: worker.leaves_at.map(|at| at.saturating_duration_since(now)),
             crash_risk: CrashRisk::Low,
--- a/crates/domain/src/superseded.rs
+++ b/crates/domain/src/superseded.rs
@@ -34,6 +34,7 @@
                 .is_some_and(|known| known.announcement.worker == superseded)
             {
                 state.workers.remove(&superseded.id);
+                state.health.remove_worker(&superseded);
                 state.task_capacity.clear();
                 state.needs_decision = true;
             }
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -16,6 +16,7 @@
 use crate::capacity::TaskCapacity;
 use crate::cleanup::DeletedJobs;
 use crate::directory::AgentDirectory;
+use crate::health::may_be_worker_fault;
 use crate::job::Assignment;
 use crate::job::AssignmentState;
 use crate::job::Job;
@@ -36,6 +37,8 @@
 use nutmegwalk_lease::HeldLease;
 use nutmegwalk_lease::Ownership;
 use nutmegwalk_net::Client;
+use nutmegwalk_placement::DomainHealth;
+use nutmegwalk_placement::HealthSettings;
 use nutmegwalk_placement::RunTimeEstimates;
 use nutmegwalk_policy::PolicyView;
 use nutmegwalk_store::Follower;
@@ -80,6 +83,7 @@
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) agents: BTreeMap<ProcessId, AgentInfo>,
     pub(crate) run_times: RunTimeEstimates,
+    pub(crate) health: DomainHealth,
     /// The runs of all jobs, by worker.
     pub(crate) runs: RunIndex,
     pub(crate) directory: AgentDirectory,
@@ -181,6 +185,7 @@
         if assignment.worker != *worker || assignment.state == AssignmentState::Ended {
             return None;
         }
+        let started_at = assignment.since;
         assignment.enter(AssignmentState::Ended, now);
         let spec = &job.record.spec;
         let step = &spec.steps[unit.step as usize];
@@ -215,9 +220,11 @@
         let mut run_time = None;
         // Workers of the runs that this end stops or completes. The ends of further members change nothing for them.
         let mut workers_of_run: BTreeSet<WorkerRef> = BTreeSet::new();
+        let mut is_worker_suspect = false;
         for run in &mut live.runs {
             let is_ended = run.run == ended.run;
             if is_ended {
+                is_worker_suspect = may_be_worker_fault(step, run, now);
                 run_time = run
                     .all_running_since
                     .filter(|_| run.resumed_from.is_none())
@@ -247,20 +254,12 @@
                         .observe(&job.record.queue, estimate_ms, run_time);
                 }
                 for worker in &workers_of_run {
-                    if let Some(worker) = state.workers.get_mut(&worker.id) {
-                        worker.health.record_success();
-                    }
+                    state.health.record_success(&job_id, worker);
                 }
                 job.readiness.mark_stale(unit.occurrence);
             }
             EndEffect::Failed { is_exhausted } => {
                 live.failed_on.push(worker.clone());
-                if let Some(worker) = state.workers.get_mut(&worker.id)
-                    && worker.health.record_failure(now)
-                {
-                    self.metrics.record_quarantine();
-                    warn!(target: event::WORKER_SET_ASIDE, worker = &*worker.announcement.worker.id; "worker quarantined after consecutive failures");
-                }
                 if is_exhausted {
                     job.progress.end(JobState::Failed);
                     job.stop_all();
@@ -270,6 +269,9 @@
         }
         let workers_of_run = workers_of_run.into_iter().map(|worker| worker.id);
         state.pending_notifications.extend(workers_of_run);
+        if matches!(effect, EndEffect::Failed { .. }) && is_worker_suspect {
+            self.record_run_failure(state, worker, &job_id, started_at);
+        }
         let is_changed = state.remove_ended_runs(&job_id, &unit) || effect != EndEffect::Ignored;
         self.record_job_end(state, &job_id, now);
         if is_changed {
@@ -394,6 +396,14 @@
 }
 
 impl State {
+    /// Creates the state of a term that knows neither jobs nor workers.
+    pub(crate) fn new(health: HealthSettings) -> Self {
+        Self {
+            health: DomainHealth::new(health),
+            ..Self::default()
+        }
+    }
+
     /// Returns the assignments of tasks to an incarnation of a worker, with their units and runs.
     pub(crate) fn assignments_on<'a>(
         &'a self,
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -10,7 +10,6 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::signal::Signal;
-use nutmegwalk_placement::WorkerHealth;
 use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::WorkerRef;
@@ -68,7 +67,6 @@
     /// Number up to which the effects of all ends are stored.
     pub(crate) acknowledged: u64,
     pub(crate) unexpected_runs: BTreeMap<nutmegwalk_supervisor::TaskRun, UnexpectedRun>,
-    pub(crate) health: WorkerHealth,
     /// Raised when there may be new orders for the worker.
     pub(crate) orders: Signal,
     /// Earliest time at which the worker leaves, if it has announced that.
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -318,13 +318,13 @@
             let slowdown_factor = self.faults.slowdown_factor.get().max(1);
             running.done += elapsed * running.pace_percent / 100 / slowdown_factor;
         }
-        if script.is_long_running || running.done < script.work_time {
+        if running.done < script.work_time {
             return None;
         }
         if run.run <= script.failing_runs {
             return Some(EndKind::Failed);
         }
-        Some(EndKind::Done)
+        (!script.is_long_running).then_some(EndKind::Done)
     }
 
     fn end(&self, incarnation: &mut Incarnation, running: Running, kind: EndKind) {
--- a/crates/placement/examples/decision_time.rs
+++ b/crates/placement/examples/decision_time.rs
@@ -33,6 +33,7 @@
         capacity: size(ACCELERATORS),
         allocated: Resources::default(),
         accepts_tasks: true,
+        is_quarantined: false,
         slowdown_factor: 1.0,
         leaves_in: None,
         crash_risk: CrashRisk::Low,
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -47,7 +47,10 @@
     for _ in step.tasks.iter() {
         let fits = |index: &usize| {
             let worker = &snapshot.workers[*index];
-            worker.accepts_tasks && worker.service == step.service && step.demand.fits(free[*index])
+            worker.accepts_tasks
+                && !worker.is_quarantined
+                && worker.service == step.service
+                && step.demand.fits(free[*index])
         };
         let Some(index) = (0..free.len()).find(fits) else {
             break;
--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -28,14 +28,17 @@
 /// Maximum number of further tasks of a step for each worker, regardless of its free resources.
 pub(crate) type TaskLimits = Vec<u32>;
 
-/// Returns how many tasks of a step each worker may still accept, regardless of its free resources.
+/// Returns how many tasks of a step each worker may still accept, regardless of its free resources. Workers in quarantine
+/// accept tasks only if `with_quarantined` is set.
 pub(crate) fn task_limits(
     snapshot: &Snapshot,
     rules: &IsolationRules,
     step: &WaitingStep,
+    with_quarantined: bool,
 ) -> TaskLimits {
     let allowed = |index: usize| {
-        if !is_eligible(snapshot, step, index) {
+        let is_closed = snapshot.workers[index].is_quarantined && !with_quarantined;
+        if is_closed || !is_eligible(snapshot, step, index) {
             return 0;
         }
         let by_step = step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`plan()`] takes a snapshot of the workers, the waiting steps and the running units and decides which tasks
 //! start on which workers and which running units are preempted. It keeps no state between calls, so a new
-//! owner decides as its predecessor did. [`WorkerHealth`] and [`RunTimeEstimates`] keep statistics of ended
+//! owner decides as its predecessor did. [`DomainHealth`] and [`RunTimeEstimates`] keep statistics of ended
 //! runs.
 
 mod baseline;
@@ -21,8 +21,11 @@
 mod withdraw;
 
 pub use baseline::first_fit;
+pub use health::DomainHealth;
+pub use health::Failure;
+pub use health::FailureCause;
+pub use health::FailureEffect;
 pub use health::HealthSettings;
-pub use health::WorkerHealth;
 pub use isolation::Isolation;
 pub use plan::plan;
 pub use run_time::RunTimeEstimates;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -121,9 +121,12 @@
         let step = &self.snapshot.waiting[index];
         let mut remaining = RemainingTasks {
             tasks: step.count(),
-            task_limits: task_limits(self.snapshot, &self.isolation_rules, step),
+            task_limits: task_limits(self.snapshot, &self.isolation_rules, step, false),
         };
         let Some(locality) = self.best_locality(step, &remaining) else {
+            if self.start_on_quarantined(index, &mut remaining, None) {
+                return;
+            }
             let reason = if self.isolation_rules.restrict(step) {
                 WaitReason::Isolated
             } else {
@@ -149,6 +152,9 @@
         if locality == Locality::Local && self.relax_locality(index, &mut remaining, starts_in) {
             return;
         }
+        if self.start_on_quarantined(index, &mut remaining, starts_in) {
+            return;
+        }
         for (time, workers) in &future.batches {
             self.profile
                 .allocate(workers, step.demand, *time, step.run_time);
@@ -338,6 +344,34 @@
         remaining.tasks == 0 || self.preempt(index, remaining, Locality::Any, None)
     }
 
+    /// Starts the tasks on workers in quarantine as well if their guarantee requires it and no other worker has room in
+    /// time; returns whether all are placed then.
+    fn start_on_quarantined(
+        &mut self,
+        index: usize,
+        remaining: &mut RemainingTasks,
+        starts_in: Option<Duration>,
+    ) -> bool {
+        let step = &self.snapshot.waiting[index];
+        let has_any = self
+            .snapshot
+            .workers
+            .iter()
+            .any(|worker| worker.is_quarantined);
+        if !has_any || !step.is_guaranteed || !may_preempt(step, starts_in.unwrap_or(Duration::MAX))
+        {
+            return false;
+        }
+        let task_limits = task_limits(self.snapshot, &self.isolation_rules, step, true);
+        let mut with_quarantined = RemainingTasks {
+            tasks: remaining.tasks,
+            task_limits,
+        };
+        self.start(index, &mut with_quarantined, Locality::Any);
+        *remaining = with_quarantined;
+        remaining.tasks == 0
+    }
+
     /// Starts the tasks spread over racks if they end earlier than with a later local placement; returns
     /// whether it did.
     fn start_spread(
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -36,6 +36,8 @@
     pub allocated: Resources,
     /// Whether the worker accepts new tasks.
     pub accepts_tasks: bool,
+    /// Whether runs fail on the worker, so that it gets only tasks that are covered by a guarantee and have no other place.
+    pub is_quarantined: bool,
     /// Run time of tasks on this worker relative to a healthy worker; 1 for a healthy one.
     pub slowdown_factor: f64,
     /// Time until the worker leaves, if it has announced that.
--- a/crates/placement/tests/common/load.rs
+++ b/crates/placement/tests/common/load.rs
@@ -475,6 +475,7 @@
             capacity: CAPACITY,
             allocated: Resources::default(),
             accepts_tasks: true,
+            is_quarantined: false,
             slowdown_factor: 1.0,
             leaves_in: None,
             crash_risk: CrashRisk::Low,
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -31,6 +31,7 @@
             capacity: Resources::new(128_000, 262_144, 8),
             allocated: Resources::default(),
             accepts_tasks: true,
+            is_quarantined: false,
             slowdown_factor: 1.0,
             leaves_in: None,
             crash_risk: CrashRisk::Low,
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -183,6 +183,37 @@
         assert_eq!(plan.starts[0].assignments[0].1, 0);
     }
 
+    // Guards against a covered job that waits for the end of a quarantine, though workers are idle.
+    covered_tasks_use_workers_in_quarantine_when_no_other_has_room => {
+        let mut fixture = Fixture::new(1, 3);
+        fixture.snapshot.workers[0].is_quarantined = true;
+        fixture.snapshot.workers[1].is_quarantined = true;
+        let mut covered = step("covered", 3, 8);
+        covered.is_guaranteed = true;
+        covered.waited = Duration::from_secs(1);
+        fixture.add_waiting(covered);
+        fixture.add_waiting(step("other", 1, 1));
+        let plan = plan(&fixture.snapshot);
+        let assignments = plan.starts.iter().flat_map(|start| &start.assignments);
+        let mut used: Vec<usize> = assignments.map(|(_, worker)| *worker).collect();
+        used.sort_unstable();
+        assert_eq!(used, [0, 1, 2], "{plan:?}");
+        assert!(plan.starts.iter().all(|start| start.step == 0), "{plan:?}");
+    }
+
+    // Guards against covered tasks that use up their attempts on a worker in quarantine although another has room.
+    covered_tasks_avoid_workers_in_quarantine => {
+        let mut fixture = Fixture::new(1, 2);
+        fixture.snapshot.workers[0].is_quarantined = true;
+        let mut covered = step("covered", 2, 4);
+        covered.is_guaranteed = true;
+        covered.waited = Duration::from_secs(1);
+        fixture.add_waiting(covered);
+        let plan = plan(&fixture.snapshot);
+        let assignments = plan.starts.iter().flat_map(|start| &start.assignments);
+        assert!(assignments.clone().count() == 2 && assignments.clone().all(|(_, worker)| *worker == 1), "{plan:?}");
+    }
+
     // Guards against an owner whose memory is used up by tasks that need no resources.
     tasks_without_demand_start_in_bounded_number => {
         let mut fixture = Fixture::new(1, 1);
