Cancel a large job whose progress changes all the time

Cause: a cancellation is stored on the condition that the progress row is unchanged, four times at most. The summary of a large job changes with each write of its parts, every few milliseconds.

Change: a job with part rows gets a row `ended` in the write that ends it, and its cancellation is conditional on the absence of that row. The owner's completion stays conditional on the absence of the cancellation, so one of the two wins. Jobs without part rows are cancelled as before and have no such row.

Tests: `large_job_whose_progress_keeps_changing_is_cancelled` failed before (3 passed, 1 failed) and passes; `large_job_that_has_completed_is_not_cancelled` and `large_job_is_cancelled_while_its_tasks_end`, which plays it with the owner, are new. A restarted follower no longer reads the parts again.

--- a/crates/assembly/tests/large_jobs.rs
+++ b/crates/assembly/tests/large_jobs.rs
@@ -114,6 +114,19 @@
         domain.assert_no_violations();
     }
 
+    // Guards against a large job that runs on after its cancellation was confirmed, or is shown as completed.
+    large_job_is_cancelled_while_its_tasks_end => {
+        let domain = TestDomain::start(HOSTS).await;
+        domain.submit("normal", "large", small_tasks(job(8_000, 150))).await;
+        domain.wait_for_starts("large.0.0.4000", 1).await;
+        domain.cancel("normal", "large").await;
+        domain.wait_for_state("normal", "large", JobState::Cancelled).await;
+        domain.wait_until("no parts", || {
+            domain.store.memory.read_range(PART_PREFIX, "", 1).is_empty()
+        }).await;
+        domain.assert_no_violations();
+    }
+
     // Guards against rows that stay in the store after their job, and against a recurring job whose row grows with each
     // occurrence that is finished.
     rows_of_parts_are_deleted_with_their_steps => {
--- a/crates/domain/src/cleanup.rs
+++ b/crates/domain/src/cleanup.rs
@@ -7,6 +7,7 @@
 use log::info;
 use log::warn;
 
+use crate::job::Job;
 use crate::term::Term;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::clock;
@@ -20,8 +21,8 @@
 
 /// Interval between two checks for jobs to delete.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(12);
-/// Maximum number of jobs deleted in one transaction; each job has three rows and a condition.
-const JOBS_PER_DELETION: usize = 24;
+/// Maximum number of rows and conditions of jobs that are deleted in one transaction, beside the conditions of the owner.
+const ENTRIES_PER_DELETION: usize = 96;
 /// Deadline of one deletion.
 const DELETION_DEADLINE: Duration = Duration::from_secs(2);
 
@@ -52,6 +53,21 @@
     }
 }
 
+/// Returns the rows that a job may have, apart from its parts.
+fn rows_of(job: &Job) -> &'static [JobRow] {
+    const ALL: &[JobRow] = &[
+        JobRow::Accepted,
+        JobRow::Cancelled,
+        JobRow::Progress,
+        JobRow::Ended,
+    ];
+    if job.record.spec.has_part_rows() {
+        ALL
+    } else {
+        &ALL[..3]
+    }
+}
+
 impl Term {
     /// Deletes the rows of jobs whose retention time has passed, until the task is dropped.
     pub(crate) async fn clean_up(self: Rc<Self>) {
@@ -64,8 +80,8 @@
         }
     }
 
-    /// Returns up to [`JOBS_PER_DELETION`] jobs without runs whose retention time has passed and whose progress
-    /// is stored.
+    /// Returns jobs without runs whose retention time has passed and whose progress is stored, as many as one transaction
+    /// can delete.
     fn expired_jobs(&self) -> Vec<JobId> {
         let now = clock::now();
         let retention = self.settings.ended_job_retention;
@@ -78,8 +94,12 @@
                 && job.stored_parts.is_empty()
                 && !job.is_writing
         });
+        let mut entries = 0;
         ended
-            .take(JOBS_PER_DELETION)
+            .take_while(|(_, job)| {
+                entries += rows_of(job).len() + 1;
+                entries <= ENTRIES_PER_DELETION
+            })
             .map(|(id, _)| id.clone())
             .collect()
     }
@@ -96,7 +116,8 @@
                 Some(version) => transaction.with_version(JobRow::Progress.key(id), version),
                 None => transaction.with_absent(JobRow::Progress.key(id)),
             };
-            for row in [JobRow::Accepted, JobRow::Cancelled, JobRow::Progress] {
+            let rows = self.state.borrow().jobs.get(*id).map_or(&[][..], rows_of);
+            for row in rows {
                 transaction = transaction.with_delete(row.key(id));
             }
         }
--- a/crates/domain/src/progress_writer.rs
+++ b/crates/domain/src/progress_writer.rs
@@ -43,7 +43,8 @@
 
 /// Pause after a write that the store refused because of its content, for which no run of the job is started.
 const REFUSED_PAUSE: Duration = Duration::from_secs(5);
-/// Maximum number of parts in one write. With the conditions and the summary they fit into one transaction.
+/// Maximum number of parts in one write. With the conditions, the summary and the mark of an ended job they fit into one
+/// transaction.
 const MAX_PARTS_PER_WRITE: usize = 90;
 /// Length of the parts, in bytes, from which no further part is added to a write.
 const MAX_BYTES_PER_WRITE: usize = 512 << 10;
@@ -325,6 +326,9 @@
             transaction = transaction.with_absent(cancelled_key.clone());
         }
         transaction = transaction.with_put(key, self.progress.summary_row(spec)?);
+        if spec.has_part_rows() && self.progress.state.is_final() {
+            transaction = transaction.with_put(JobRow::Ended.key(id), "{}");
+        }
         let mut parts = Vec::new();
         let mut deleted = Vec::new();
         let mut bytes = 0;
--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -56,6 +56,9 @@
 
     /// Reads the parts of the progress that earlier owners stored, with retries. These owners cannot write any more.
     pub(crate) async fn read_parts(&self, feed: &dyn ChangeFeed) {
+        if self.term.is_loaded.get() {
+            return;
+        }
         let mut parts = StoredParts::new();
         let mut after = Box::<str>::default();
         loop {
@@ -91,7 +94,7 @@
             Some((id, JobRow::Accepted)) => self.apply_accepted(&id, row),
             Some((id, JobRow::Cancelled)) => self.apply_cancelled(&id, row),
             // During a term only this owner writes progress rows.
-            Some((_, JobRow::Progress)) => {}
+            Some((_, JobRow::Progress | JobRow::Ended)) => {}
             None => {
                 info!(target: event::ROW_UNKNOWN, key = &*row.key; "ignored a row that is not part of a job")
             }
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -57,8 +57,8 @@
 /// Part of a row, in bytes, that the store client may add to it.
 const ROW_MARGIN_BYTES: usize = 256;
 
-/// Maximum number of attempts to store a cancellation, each based on the latest progress of the job. Progress
-/// changes when runs start or end; the time between two changes is usually far longer than an attempt.
+/// Maximum number of attempts to store a cancellation, each based on the latest progress of the job. The progress of a job
+/// without part rows changes when one of a few runs starts or ends, far less often than an attempt takes.
 const MAX_CANCEL_ATTEMPTS: usize = 4;
 
 /// Handler of callers' requests to a domain.
@@ -218,7 +218,7 @@
         self.with_metrics(Call::Cancel, result).await
     }
 
-    /// Stores the cancellation of a job on the condition that its progress has not changed, with retries.
+    /// Stores the cancellation of a job on the condition that it has not ended, with retries.
     async fn store_cancellation(&self, caller: &Caller, id: &str, limit: Duration) -> Result<()> {
         let mut known = self.find_own_job(caller, id, limit).await?;
         let deadline = self.store_deadline(limit)?;
@@ -340,10 +340,12 @@
     }
 }
 
-/// Returns a transaction that cancels a job on the condition that its progress row has the known version.
+/// Returns a transaction that cancels a job on the condition that it has not ended: that it has no mark of its end, or that
+/// its progress row has the known version.
 fn cancellation(id: &str, known: &CachedJob) -> Transaction {
     let (key, progress) = (JobRow::Cancelled.key(id), JobRow::Progress.key(id));
     let transaction = match known.progress_version() {
+        _ if known.is_marked_at_end => Transaction::new().with_absent(JobRow::Ended.key(id)),
         None => Transaction::new().with_absent(progress),
         Some(version) => Transaction::new().with_version(progress, version),
     };
--- a/crates/intake/src/view.rs
+++ b/crates/intake/src/view.rs
@@ -42,6 +42,8 @@
     progress_version: RowVersion,
     progress_state: JobState,
     is_cancelled: bool,
+    /// Whether the job is marked when it ends, since its progress changes too often to depend on.
+    pub(crate) is_marked_at_end: bool,
 }
 
 impl CachedJob {
@@ -55,6 +57,7 @@
             progress_version: 0,
             progress_state: JobState::Pending,
             is_cancelled: false,
+            is_marked_at_end: record.spec.has_part_rows(),
         }
     }
 
@@ -184,6 +187,10 @@
         let Some((id, kind)) = JobRow::parse(&row.key) else {
             return;
         };
+        if kind == JobRow::Ended {
+            // The progress tells how the job has ended.
+            return;
+        }
         if kind == JobRow::Accepted {
             match serde_json::from_str::<JobRecord>(&row.value) {
                 Ok(record) => self.add_accepted(&id, &record, row.version),
--- a/crates/intake/tests/cancel.rs
+++ b/crates/intake/tests/cancel.rs
@@ -38,6 +38,11 @@
 
 impl Host {
     async fn new() -> Self {
+        Self::with_tasks(1).await
+    }
+
+    /// Creates a host whose job has `tasks` tasks.
+    async fn with_tasks(tasks: u32) -> Self {
         let store = EmulatedStore::new();
         let feed = store.connection();
         let view = JobView::new(Rc::new(feed.clone()));
@@ -49,9 +54,11 @@
             intake,
             caller: caller(),
         };
+        let mut spec = one_task();
+        spec.steps[0].tasks = tasks;
         let submitted = host
             .intake
-            .submit(&host.caller, JOB_ID, one_task(), CALL_LIMIT)
+            .submit(&host.caller, JOB_ID, spec, CALL_LIMIT)
             .await;
         submitted.expect("the store accepts the job");
         let started = Instant::now();
@@ -102,4 +109,31 @@
         assert_eq!(host.intake.state(&host.caller, JOB_ID, CALL_LIMIT).await, Ok(JobState::Cancelled));
         host.intake.cancel(&host.caller, JOB_ID, CALL_LIMIT).await.expect("a repeated cancellation succeeds");
     }
+
+    // Guards against a large job that cannot be cancelled, as its progress changes with each of its many runs.
+    large_job_whose_progress_keeps_changing_is_cancelled => {
+        let host = Host::with_tasks(2_500).await;
+        let store = host.store.clone();
+        let progress = Transaction::new().with_put(JobRow::Progress.key(JOB_ID), r#"{"state":"running"}"#);
+        let writer = compio::runtime::spawn(async move {
+            loop {
+                store.memory.apply(&progress);
+                compio::time::sleep(Duration::from_micros(100)).await;
+            }
+        });
+        host.intake.cancel(&host.caller, JOB_ID, CALL_LIMIT).await.expect("the job has not ended");
+        drop(writer);
+        assert!(host.is_cancel_stored());
+    }
+
+    // Guards against a cancellation of a large job that is confirmed although the job has completed.
+    large_job_that_has_completed_is_not_cancelled => {
+        let host = Host::with_tasks(2_500).await;
+        host.store_progress(Some(JobState::Completed));
+        let mark = Transaction::new().with_put(JobRow::Ended.key(JOB_ID), "{}");
+        host.store.memory.apply(&mark);
+        let error = host.intake.cancel(&host.caller, JOB_ID, CALL_LIMIT).await.expect_err("the job has ended");
+        assert_eq!(error.kind, ErrorKind::NotFound);
+        assert!(!host.is_cancel_stored());
+    }
 }
--- a/crates/workload/src/record.rs
+++ b/crates/workload/src/record.rs
@@ -1,7 +1,8 @@
 //! Rows of a job in the store.
 //!
-//! A job has up to three rows: the accepted job and the request to cancel it, each written once by an entry
-//! host, and its progress, written by the owner of its domain.
+//! A job has up to four rows: the accepted job and the request to cancel it, each written once by an entry host, the
+//! summary of its progress, written by the owner of its domain, and for a job with part rows a mark that it has ended,
+//! written by the owner as well.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -40,8 +41,10 @@
     Accepted,
     /// The submitter's request to cancel the job.
     Cancelled,
-    /// Progress of the job.
+    /// Summary of the progress of the job.
     Progress,
+    /// Mark that the job has ended. A cancellation depends on it where the summary changes all the time.
+    Ended,
 }
 
 impl JobRow {
@@ -51,6 +54,7 @@
             Self::Accepted => "accepted",
             Self::Cancelled => "cancelled",
             Self::Progress => "progress",
+            Self::Ended => "ended",
         }
     }
 
@@ -64,7 +68,7 @@
     #[must_use]
     pub fn parse(key: &str) -> Option<(JobId, Self)> {
         let (job, suffix) = key.strip_prefix(JOB_PREFIX)?.rsplit_once('/')?;
-        let row = [Self::Accepted, Self::Cancelled, Self::Progress]
+        let row = [Self::Accepted, Self::Cancelled, Self::Progress, Self::Ended]
             .into_iter()
             .find(|row| row.suffix() == suffix)?;
         Some((job.into(), row))
