Spread large gangs over workers, so that they start whole in time

Single tasks whose orders waited behind those of the gang were stopped as late as well.

Change: no worker gets more than 128 members of a gang while others have room. A run can be late only once an order to start it was sent (or after five times as long). An agent carries out stops and starts of a message side by side, 64 at a time, and a message has up to 256 of each.

Tests: `large_gang_is_spread_over_workers` is new and fails without the change of the placement (500 members on worker 0).

--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -35,7 +35,7 @@
 /// Pause after a message that the agent did not answer, or a stop that the worker did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Maximum number of starts in one message, and of stops. The agent carries them out within [`ORDERS_TIMEOUT`].
-const MAX_ORDERS_PER_MESSAGE: usize = 128;
+const MAX_ORDERS_PER_MESSAGE: usize = 256;
 /// Length of the payloads, in bytes, from which no further start is added to a message.
 const MAX_PAYLOAD_BYTES: usize = 1 << 20;
 /// Interval at which the orders of a worker are checked without a signal.
@@ -80,7 +80,7 @@
         let Some(address) = address else {
             return false;
         };
-        self.count_start_orders(orders, |count| count + 1);
+        self.record_sent(orders);
         let result = self.client.send(address, orders, ORDERS_TIMEOUT).await;
         if let Err(error) = &result
             && error.outcome() == Outcome::NotRun
@@ -116,6 +116,20 @@
         is_answered
     }
 
+    /// Records that orders are being sent.
+    fn record_sent(&self, orders: &Orders) {
+        let now = clock::now();
+        self.count_start_orders(orders, |count| count + 1);
+        let mut state = self.state.borrow_mut();
+        for order in &orders.starts {
+            for index in &order.tasks {
+                if let Some(assignment) = state.assignment_mut(&order.task_run(*index)) {
+                    assignment.sent_at.get_or_insert(now);
+                }
+            }
+        }
+    }
+
     /// Changes the number of orders of each run that is to be started.
     fn count_start_orders(&self, orders: &Orders, change: impl Fn(u32) -> u32) {
         let mut state = self.state.borrow_mut();
--- a/crates/domain/src/job.rs
+++ b/crates/domain/src/job.rs
@@ -86,6 +86,8 @@
     pub(crate) stop: StopState,
     /// Number of orders to start the run that the agent has received or may have received.
     pub(crate) start_orders: u32,
+    /// When the first order to start the run was sent.
+    pub(crate) sent_at: Option<Instant>,
     /// When `state` was entered.
     pub(crate) since: Instant,
     pub(crate) progress_percent: u32,
@@ -113,6 +115,7 @@
             state,
             stop: StopState::None,
             start_orders: 0,
+            sent_at: None,
             since: now,
             progress_percent: 0,
             progress_since: None,
@@ -238,6 +241,14 @@
         self.advance(&self.ended, AssignmentState::Ended)
     }
 
+    /// Returns when the first order to start a task of the run was sent; `None` if none was.
+    pub(crate) fn first_sent_at(&self) -> Option<Instant> {
+        self.assignments
+            .iter()
+            .filter_map(|assignment| assignment.sent_at)
+            .min()
+    }
+
     /// Returns whether a task of the run is being stopped or has ended.
     pub(crate) fn is_stopping(&self) -> bool {
         self.assignments.iter().any(|assignment| {
--- a/crates/domain/src/monitor.rs
+++ b/crates/domain/src/monitor.rs
@@ -24,6 +24,9 @@
 /// Time for which the other members of a completed gang may still be listed as running before they are stopped.
 const DONE_GRACE_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Time for which an order to start a run may wait until it is sent, as a multiple of the time for the start itself.
+const MAX_UNSENT_TIMEOUTS: u32 = 5;
+
 impl Term {
     /// Checks all timeouts and handles those that have passed.
     pub(crate) fn check_timeouts(self: &Rc<Self>) {
@@ -103,12 +106,7 @@
         for job in state.jobs.values() {
             for (unit, live) in &job.units {
                 let is_late = |run: &&LiveRun| {
-                    !run.is_stopping()
-                        && run.assignments.iter().any(|assignment| {
-                            let age = now.saturating_duration_since(assignment.since);
-                            assignment.state == AssignmentState::Ordered
-                                && age > self.settings.start_timeout
-                        })
+                    !run.is_stopping() && is_start_late(run, self.settings.start_timeout, now)
                 };
                 let runs = live.runs.iter().filter(is_late);
                 late.extend(runs.map(|run| (unit.clone(), run.run)));
@@ -178,6 +176,20 @@
     }
 }
 
+/// Returns whether tasks of a run have not started in time since the first order to start one was sent. Orders that were
+/// not sent yet wait for others to the same worker, for a limited time.
+fn is_start_late(run: &LiveRun, timeout: Duration, now: Instant) -> bool {
+    let age = |since: Instant| now.saturating_duration_since(since);
+    let mut waiting = run
+        .assignments
+        .iter()
+        .filter(|assignment| assignment.state == AssignmentState::Ordered);
+    match run.first_sent_at() {
+        Some(sent_at) => waiting.next().is_some() && age(sent_at) > timeout,
+        None => waiting.any(|assignment| age(assignment.since) > timeout * MAX_UNSENT_TIMEOUTS),
+    }
+}
+
 /// Returns the workers of the stalled tasks of a run.
 fn stalled_workers(run: &LiveRun, has_checkpoints: bool, run_time: Duration) -> Vec<WorkerRef> {
     let Some(all_running_since) = run.all_running_since else {
--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -16,6 +16,10 @@
 /// Slowdown factor at and above which a worker gets no tasks.
 const MAX_SLOWDOWN_FACTOR: f64 = 2.0;
 
+/// Number of tasks of a gang that one worker starts quickly. The members wait only a few seconds for each other, so a larger
+/// gang is spread over more workers.
+const MAX_QUICK_STARTS: u32 = 128;
+
 /// Constraint on the distance of tasks from each other and from their data.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Locality {
@@ -84,15 +88,39 @@
     tasks: u32,
     locality: Locality,
 ) -> Vec<usize> {
-    let Some(counts) = counts(snapshot, step, free, task_limits, tasks, locality) else {
+    let Some(mut counts) = counts(snapshot, step, free, task_limits, tasks, locality) else {
         return Vec::new();
     };
-    if step.is_gang && total(&counts) < u64::from(tasks) {
-        return Vec::new();
+    if step.is_gang {
+        if total(&counts) < u64::from(tasks) {
+            return Vec::new();
+        }
+        spread(&mut counts, tasks);
     }
     assign_tasks(snapshot, step, free, &counts, tasks)
 }
 
+/// Reduces the counts of the workers with the most tasks of a gang as far as all tasks still fit, but not below
+/// [`MAX_QUICK_STARTS`].
+fn spread(counts: &mut [u32], tasks: u32) {
+    let fits = |limit: u32| {
+        let limited = counts.iter().map(|count| u64::from(*count.min(&limit)));
+        limited.sum::<u64>() >= u64::from(tasks)
+    };
+    let (mut low, mut high) = (MAX_QUICK_STARTS, tasks.max(MAX_QUICK_STARTS));
+    while low < high {
+        let middle = low + (high - low) / 2;
+        if fits(middle) {
+            high = middle;
+        } else {
+            low = middle + 1;
+        }
+    }
+    counts
+        .iter_mut()
+        .for_each(|count| *count = (*count).min(low));
+}
+
 /// Returns whether `tasks` tasks of a step fit into `free`, which is cheaper than [`find_workers`].
 pub(crate) fn fits(
     snapshot: &Snapshot,
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -9,6 +9,7 @@
 
 use nutmegwalk_placement::WaitReason;
 use nutmegwalk_placement::plan;
+use nutmegwalk_workload::Resources;
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => { $(#[rstest::rstest] fn $name() $body)* };
@@ -226,4 +227,20 @@
         let started: usize = plan.starts.iter().map(|start| start.assignments.len()).sum();
         assert_eq!(started, 32_768);
     }
+
+    // Guards against a gang that never starts whole, as one worker cannot start so many members in time.
+    large_gang_is_spread_over_workers => {
+        let mut fixture = Fixture::new(1, 4);
+        let mut gang = step("gang", 500, 0);
+        gang.is_gang = true;
+        gang.demand = Resources::new(100, 64, 0);
+        fixture.add_waiting(gang);
+        let plan = plan(&fixture.snapshot);
+        let assignments = &plan.starts[0].assignments;
+        assert_eq!(assignments.len(), 500);
+        for worker in 0..4 {
+            let count = assignments.iter().filter(|(_, at)| *at == worker).count();
+            assert!(count <= 128, "{count} members on worker {worker}");
+        }
+    }
 }
--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join;
 use futures_util::stream;
 use futures_util::stream::StreamExt;
 use log::info;
@@ -34,7 +35,7 @@
 /// Timeout of one try of an order; the worker is on the same host.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of orders in flight to the worker, each on a connection of its own.
-const MAX_PARALLEL_REQUESTS: usize = 32;
+const MAX_PARALLEL_REQUESTS: usize = 64;
 /// Time after an accepted stop within which the run ends; the platform allows 200 ms.
 const MAX_STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -47,12 +48,12 @@
     pub async fn execute(&self, orders: Orders) -> Result<OrdersAnswer> {
         self.accept_orders(&orders)?;
         let inner = &*self.inner;
-        let stops = inner.stop_all(&orders).await;
         let starts = orders.starts.iter().flat_map(|order| {
             let tasks = order.tasks.iter();
             tasks.map(|index| inner.start(&orders, order, *index))
         });
-        let starts = in_parallel(starts).await;
+        // A start uses no room that a stop of the same orders makes, so neither waits for the other.
+        let (stops, starts) = join(inner.stop_all(&orders), in_parallel(starts)).await;
         for pace in &orders.paces {
             let request = inner
                 .port
