Wait for the store before a repeated submission is answered as unknown

What callers saw: since a repetition at the entry host whose first attempt has an unknown outcome was answered 504 at once while the store was away. Callers repeat a 504 within 0.1 s, so their tries were used up 0.4 s later, and the job was lost to them; before, the false 503 had told them when to come back.

Change: as long as the store cannot be reached, such a call tries again every 0.1 s for the time that a write may take for it, 45% of the caller's time, as its first attempt did; then the answer is 504. Other calls are refused as before.

--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -54,6 +54,9 @@
 /// the caller still has time to try another host.
 const STORE_DEADLINE_SHARE: f64 = 0.45;
 
+/// Pause between two attempts to store a job that an earlier call may have stored.
+const UNRESOLVED_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Part of a row, in bytes, that the store client may add to it.
 const ROW_MARGIN_BYTES: usize = 256;
 
@@ -107,12 +110,36 @@
         limit: Duration,
     ) -> Result<()> {
         let result = async {
-            let result = self.accept(caller, id, spec, limit).await;
+            let result = self.accept_or_wait(caller, id, &spec, limit).await;
             self.unresolved.resolve(id, result, clock::now())
         };
         self.with_metrics(Call::Submit, result).await
     }
 
+    /// Accepts a job. If an earlier attempt may have stored it, the caller cannot be told that it will not run, so the call
+    /// waits for the store for as long as a write may take instead of being refused.
+    async fn accept_or_wait(
+        &self,
+        caller: &Caller,
+        id: &str,
+        spec: &JobSpec,
+        limit: Duration,
+    ) -> Result<()> {
+        let until = clock::now() + self.max_store_time(limit);
+        loop {
+            let now = clock::now();
+            let result = self.accept(caller, id, spec.clone(), limit).await;
+            let is_unavailable = |error: &Error| error.kind == ErrorKind::StoreUnavailable;
+            let may_wait = now + UNRESOLVED_RETRY_PAUSE < until
+                && result.as_ref().is_err_and(is_unavailable)
+                && self.unresolved.contains(id, now);
+            if !may_wait {
+                return result;
+            }
+            compio::time::sleep(UNRESOLVED_RETRY_PAUSE).await;
+        }
+    }
+
     async fn accept(
         &self,
         caller: &Caller,
@@ -302,9 +329,14 @@
     /// `store_unavailable` when the store has been unreachable for too long to try.
     fn store_deadline(&self, limit: Duration) -> Result<Duration> {
         refusal::check_reachable(self.reachability.unreachable_for())?;
-        Ok(limit
+        Ok(self.max_store_time(limit))
+    }
+
+    /// Returns the longest duration of a write or read on behalf of a caller with the time limit `limit`.
+    fn max_store_time(&self, limit: Duration) -> Duration {
+        limit
             .mul_f64(STORE_DEADLINE_SHARE)
-            .min(self.settings.store_deadline))
+            .min(self.settings.store_deadline)
     }
 
     /// Returns the time after which a caller that is refused now should retry.
--- a/crates/intake/src/unresolved.rs
+++ b/crates/intake/src/unresolved.rs
@@ -26,9 +26,18 @@
 }
 
 impl UnresolvedSubmissions {
+    /// Returns whether an earlier attempt may have stored the job, as known at `now`.
+    pub(crate) fn contains(&self, id: &str, now: Instant) -> bool {
+        self.attempted_at
+            .borrow()
+            .get(id)
+            .is_some_and(|at| now.saturating_duration_since(*at) < RETENTION)
+    }
+
     /// Records the result of a submission at `now`, and returns it as the caller may see it: the job may have been
     /// stored by an earlier attempt although this one has not run.
     pub(crate) fn resolve(&self, id: &str, result: Result<()>, now: Instant) -> Result<()> {
+        let is_unresolved = self.contains(id, now);
         let mut attempted_at = self.attempted_at.borrow_mut();
         match result {
             Ok(()) => {
@@ -46,17 +55,11 @@
                 attempted_at.insert(id.into(), now);
                 Err(error)
             }
-            Err(error) => {
-                let is_unresolved = error.kind == ErrorKind::StoreUnavailable
-                    && attempted_at
-                        .get(id)
-                        .is_some_and(|at| now.saturating_duration_since(*at) < RETENTION);
-                if !is_unresolved {
-                    return Err(error);
-                }
+            Err(error) if is_unresolved && error.kind == ErrorKind::StoreUnavailable => {
                 let detail = format!("an earlier attempt may have stored the job: {error}");
                 Err(Error::new(ErrorKind::StoreUnknown, detail))
             }
+            Err(error) => Err(error),
         }
     }
 }
