--- a/crates/intake/tests/common/mod.rs
+++ b/crates/intake/tests/common/mod.rs
@@ -22,12 +22,12 @@
 pub(crate) const CALL_LIMIT: Duration = Duration::from_secs(60);
 pub(crate) const JOB_ID: &str = "a";
 
-/// Reports the store as always reachable.
-struct AlwaysReachable;
+/// Reports a store that is down as unreachable for longer than calls wait for it.
+struct ReportsOutages(EmulatedStore);
 
-impl Reachability for AlwaysReachable {
+impl Reachability for ReportsOutages {
     fn unreachable_for(&self) -> Option<Duration> {
-        None
+        self.0.is_down.get().then_some(Duration::from_secs(2))
     }
 }
 
@@ -42,7 +42,7 @@
     Intake::new(
         settings,
         StoreClient::new(shared.clone(), shared),
-        Rc::new(AlwaysReachable),
+        Rc::new(ReportsOutages(store.clone())),
         view.clone(),
         IntakeMetrics::new(&metrics.meter()),
     )
