--- a/crates/intake/tests/cancel.rs
+++ b/crates/intake/tests/cancel.rs
@@ -11,6 +11,7 @@
 use common::caller;
 use common::intake;
 use common::one_task;
+
 use nutmegwalk_base::ErrorKind;
 use nutmegwalk_emulator::EmulatedStore;
 use nutmegwalk_intake::Caller;
--- a/crates/node/tests/job_table.rs
+++ b/crates/node/tests/job_table.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use common::record;
+
 use nutmegwalk_base::Outcome;
 use nutmegwalk_emulator::EmulatedStore;
 use nutmegwalk_node::job_table::JobTable;
