--- a/crates/assembly/tests/health.rs
+++ b/crates/assembly/tests/health.rs
@@ -44,6 +44,26 @@
         domain.assert_no_violations();
     }
 
+    // Guards against a worker being barred for good to the tasks that failed there, where no other has room.
+    task_that_failed_runs_again_where_only_its_worker_has_room => {
+        let domain = TestDomain::start(3).await;
+        let mut others = job(16, 50);
+        others.payload = "work=50 cpu=1000 mem=1024 gpu=1 lasts".into();
+        others.steps[0].is_lasting = true;
+        domain.submit("normal", "others", others).await;
+        for task in 0..16 {
+            domain.wait_for_starts(&format!("others.0.0.{task}"), 1).await;
+        }
+        let mut failing = job(8, 50);
+        failing.payload = "work=50 cpu=1000 mem=1024 gpu=1 fails=1 lasts".into();
+        failing.steps[0].is_lasting = true;
+        domain.submit("normal", "failing", failing).await;
+        for task in 0..8 {
+            domain.wait_for_starts(&format!("failing.0.0.{task}"), 2).await;
+        }
+        domain.assert_no_violations();
+    }
+
     // Guards against a worker that fails all that it starts and uses up the attempts of one job after the other.
     worker_that_fails_all_it_starts_is_closed => {
         let domain = TestDomain::start(HOSTS as usize).await;
