Use a worker where a task failed only if no other will have room

The bar stays as long as another worker will have room in the foreseeable time. If the earliest other place is more than 60 s away, which is where tasks that last hold all others, or if there is none, the tasks start where they failed at once.

--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -36,9 +36,6 @@
 const CORES_PER_ACCELERATOR: u64 = 8;
 /// Time after which a suspect no longer waits for a worker on which a crash does little harm.
 const MAX_ISOLATION_WAIT: Duration = Duration::from_millis(1_500);
-/// Time after which a task no longer waits for another worker than those on which it has failed. They may be the only ones
-/// that will ever have room.
-const MAX_EXCLUSION_WAIT: Duration = Duration::from_millis(1_500);
 /// Run time that a stop loses although the task writes a checkpoint then.
 const CHECKPOINT_LOSS: Duration = Duration::from_millis(200);
 
@@ -408,17 +405,10 @@
         counts.into_iter().collect()
     }
 
-    /// Returns the workers on which units have failed or stalled a short time ago; none if these are more than half of all
-    /// workers.
+    /// Returns the workers on which units have failed or stalled; none if these are more than half of all workers.
     fn excluded(&self, waiting: &[&LiveUnit]) -> Vec<usize> {
-        let waits_briefly = |live: &&&LiveUnit| {
-            live.last_run_ended_at.is_some_and(|ended_at| {
-                self.now.saturating_duration_since(ended_at) <= MAX_EXCLUSION_WAIT
-            })
-        };
         let mut excluded: Vec<usize> = waiting
             .iter()
-            .filter(waits_briefly)
             .flat_map(|live| &live.failed_on)
             .filter_map(|worker| self.index_of.get(worker).copied())
             .collect();
--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -32,16 +32,28 @@
 /// Maximum number of further tasks of a step for each worker, regardless of its free resources.
 pub(crate) type TaskLimits = Vec<u32>;
 
-/// Returns how many tasks of a step each worker may still accept, regardless of its free resources. Workers in quarantine
-/// accept tasks only if `with_quarantined` is set.
+/// Workers that are used only as a last resort.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LastResort {
+    /// No such workers.
+    None,
+    /// Workers in quarantine.
+    Quarantined,
+    /// Workers where tasks of the step have failed or stalled.
+    Excluded,
+}
+
+/// Returns how many tasks of a step each worker may still accept, regardless of its free resources.
 pub(crate) fn task_limits(
     snapshot: &Snapshot,
     rules: &IsolationRules,
     step: &WaitingStep,
-    with_quarantined: bool,
+    last_resort: LastResort,
 ) -> TaskLimits {
     let allowed = |index: usize| {
-        let is_closed = snapshot.workers[index].is_quarantined && !with_quarantined;
+        let is_closed = last_resort != LastResort::Quarantined
+            && snapshot.workers[index].is_quarantined
+            || last_resort != LastResort::Excluded && step.excluded.contains(&index);
         if is_closed || !is_eligible(snapshot, step, index) {
             return 0;
         }
@@ -66,7 +78,6 @@
             .required_label
             .as_ref()
             .is_none_or(|label| worker.labels.contains(label))
-        && !step.excluded.contains(&index)
         && step
             .allowed
             .as_ref()
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -14,6 +14,7 @@
 use crate::WaitReason;
 use crate::WaitingStep;
 use crate::WaitingTasks;
+use crate::fit::LastResort;
 use crate::fit::Locality;
 use crate::fit::TaskLimits;
 use crate::fit::can_start;
@@ -39,6 +40,8 @@
 /// Time for which a step covered by a guarantee waits for runs to end before it preempts others. Together
 /// with the time to store the decision and to stop tasks it stays below the promised reclaim time.
 const RECLAIM_GRACE_PERIOD: Duration = Duration::from_millis(600);
+/// Time from now that can be foreseen. What would start later waits for tasks that last, and may never start.
+const FORESEEABLE_TIME: Duration = Duration::from_secs(60);
 /// A step that is not covered by a guarantee preempts others only if the work lost is at most this many
 /// times its own work.
 const MAX_LOSS_FACTOR: f64 = 2.0;
@@ -121,10 +124,12 @@
         let step = &self.snapshot.waiting[index];
         let mut remaining = RemainingTasks {
             tasks: step.count(),
-            task_limits: task_limits(self.snapshot, &self.isolation_rules, step, false),
+            task_limits: task_limits(self.snapshot, &self.isolation_rules, step, LastResort::None),
         };
         let Some(locality) = self.best_locality(step, &remaining) else {
-            if self.start_on_quarantined(index, &mut remaining, None) {
+            if self.start_on_quarantined(index, &mut remaining, None)
+                || self.start_where_failed(index, &mut remaining)
+            {
                 return;
             }
             let reason = if self.isolation_rules.restrict(step) {
@@ -155,6 +160,12 @@
         if self.start_on_quarantined(index, &mut remaining, starts_in) {
             return;
         }
+        let first_start = future.batches.first().map(|(time, _)| *time);
+        if first_start.is_none_or(|time| time > FORESEEABLE_TIME)
+            && self.start_where_failed(index, &mut remaining)
+        {
+            return;
+        }
         for (time, workers) in &future.batches {
             self.profile
                 .allocate(workers, step.demand, *time, step.run_time);
@@ -362,7 +373,12 @@
         {
             return false;
         }
-        let task_limits = task_limits(self.snapshot, &self.isolation_rules, step, true);
+        let task_limits = task_limits(
+            self.snapshot,
+            &self.isolation_rules,
+            step,
+            LastResort::Quarantined,
+        );
         let mut with_quarantined = RemainingTasks {
             tasks: remaining.tasks,
             task_limits,
@@ -372,6 +388,22 @@
         remaining.tasks == 0
     }
 
+    /// Starts the tasks on workers where tasks of the step have failed as well; returns whether all are placed then.
+    fn start_where_failed(&mut self, index: usize, remaining: &mut RemainingTasks) -> bool {
+        let step = &self.snapshot.waiting[index];
+        if step.excluded.is_empty() {
+            return false;
+        }
+        remaining.task_limits = task_limits(
+            self.snapshot,
+            &self.isolation_rules,
+            step,
+            LastResort::Excluded,
+        );
+        self.start(index, remaining, Locality::Any);
+        remaining.tasks == 0
+    }
+
     /// Starts the tasks spread over racks if they end earlier than with a later local placement; returns
     /// whether it did.
     fn start_spread(
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -85,7 +85,7 @@
     pub max_tasks_per_worker: Option<u32>,
     /// Workers with tasks of the step that have been started already, and the number of these tasks.
     pub started_tasks: Vec<(usize, u32)>,
-    /// Workers that must not be used, because tasks of the step have failed or stalled there.
+    /// Workers where tasks of the step have failed or stalled. They are used only if no other worker will have room.
     pub excluded: Vec<usize>,
     /// The only workers that may be used, if the queue's policy restricts them.
     pub allowed: Option<Vec<usize>>,
