Share the start on workers of a last resort

start_on_quarantined and start_where_failed each computed limits and started the rest; both now call start_with.

Behaviour and tests are as before.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -373,33 +373,25 @@
         {
             return false;
         }
-        let task_limits = task_limits(
-            self.snapshot,
-            &self.isolation_rules,
-            step,
-            LastResort::Quarantined,
-        );
-        let mut with_quarantined = RemainingTasks {
-            tasks: remaining.tasks,
-            task_limits,
-        };
-        self.start(index, &mut with_quarantined, Locality::Any);
-        *remaining = with_quarantined;
-        remaining.tasks == 0
+        self.start_with(index, remaining, LastResort::Quarantined)
     }
 
     /// Starts the tasks on workers where tasks of the step have failed as well; returns whether all are placed then.
     fn start_where_failed(&mut self, index: usize, remaining: &mut RemainingTasks) -> bool {
         let step = &self.snapshot.waiting[index];
-        if step.excluded.is_empty() {
-            return false;
-        }
-        remaining.task_limits = task_limits(
-            self.snapshot,
-            &self.isolation_rules,
-            step,
-            LastResort::Excluded,
-        );
+        !step.excluded.is_empty() && self.start_with(index, remaining, LastResort::Excluded)
+    }
+
+    /// Starts the tasks on the workers of a last resort as well; returns whether all are placed then.
+    fn start_with(
+        &mut self,
+        index: usize,
+        remaining: &mut RemainingTasks,
+        last_resort: LastResort,
+    ) -> bool {
+        let step = &self.snapshot.waiting[index];
+        remaining.task_limits =
+            task_limits(self.snapshot, &self.isolation_rules, step, last_resort);
         self.start(index, remaining, Locality::Any);
         remaining.tasks == 0
     }
