Let TaskList join ranges for the readiness of jobs

The domain had a copy of the loop that joins ranges, and built a list from the result. It now pushes to the list itself, which also is empty by its ranges, as no empty range is kept.

Behaviour and tests are as before.

--- a/crates/domain/src/readiness.rs
+++ b/crates/domain/src/readiness.rs
@@ -5,11 +5,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::ops::Range;
 use std::time::Instant;
 
 use crate::job::Job;
 use nutmegwalk_base::JobId;
+use nutmegwalk_placement::TaskList;
 use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::MAX_OPEN_OCCURRENCES;
 use nutmegwalk_workload::Occurrence;
@@ -99,20 +99,20 @@
             .collect()
     }
 
-    /// Returns the waiting tasks of a ready step by the risk that they crash their workers, as ranges of indices.
+    /// Returns the waiting tasks of a ready step by the risk that they crash their workers.
     pub(crate) fn waiting_tasks(
         &self,
         id: &JobId,
         occurrence: Occurrence,
         step: StepIndex,
-    ) -> BTreeMap<CrashRisk, Vec<Range<TaskIndex>>> {
-        let mut waiting = BTreeMap::new();
+    ) -> BTreeMap<CrashRisk, TaskList> {
+        let mut waiting = BTreeMap::<CrashRisk, TaskList>::new();
         let spec = &self.record.spec;
         if spec.step(step).is_some_and(|step| step.is_gang) {
             let unit = spec.unit_at(id, occurrence, step, 0);
             if !self.has_runs(&unit) {
-                let tasks = std::iter::once(0..spec.steps[step as usize].tasks).collect();
-                waiting.insert(self.placement_risk_of(&unit), tasks);
+                let tasks = waiting.entry(self.placement_risk_of(&unit)).or_default();
+                tasks.push(0..spec.steps[step as usize].tasks);
             }
             return waiting;
         }
@@ -124,18 +124,17 @@
             .collect();
         for (index, risk) in self.progress.risky_units(occurrence, step) {
             if apart.insert(index) {
-                let tasks = waiting.entry(risk).or_default();
-                push_range(tasks, index..index + 1);
+                waiting.entry(risk).or_default().push(index..index + 1);
             }
         }
-        let mut low_risk = Vec::new();
+        let mut low_risk = TaskList::default();
         for open in self.progress.open_units(spec, occurrence, step) {
             let mut start = open.start;
             for index in apart.range(open.clone()) {
-                push_range(&mut low_risk, start..*index);
+                low_risk.push(start..*index);
                 start = index + 1;
             }
-            push_range(&mut low_risk, start..open.end);
+            low_risk.push(start..open.end);
         }
         if !low_risk.is_empty() {
             waiting.insert(CrashRisk::Low, low_risk);
@@ -150,14 +149,3 @@
             .is_some_and(|live| !live.runs.is_empty())
     }
 }
-
-/// Adds a range, which must follow the ranges before, unless it is empty.
-fn push_range(ranges: &mut Vec<Range<TaskIndex>>, range: Range<TaskIndex>) {
-    if range.is_empty() {
-        return;
-    }
-    match ranges.last_mut() {
-        Some(last) if last.end == range.start => last.end = range.end,
-        _ => ranges.push(range),
-    }
-}
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -316,7 +316,7 @@
                     crash_risk,
                     ready_since,
                 };
-                steps.push(self.waiting_step(&group, TaskList::new(tasks)));
+                steps.push(self.waiting_step(&group, tasks));
             }
         }
         steps
--- a/crates/placement/src/task_list.rs
+++ b/crates/placement/src/task_list.rs
@@ -11,10 +11,15 @@
 }
 
 impl TaskList {
-    /// Creates a list from ranges in ascending order.
-    #[must_use]
-    pub fn new(ranges: Vec<Range<TaskIndex>>) -> Self {
-        Self { ranges }
+    /// Adds the tasks of a range, which must follow all others.
+    pub fn push(&mut self, range: Range<TaskIndex>) {
+        if range.is_empty() {
+            return;
+        }
+        match self.ranges.last_mut() {
+            Some(last) if last.end == range.start => last.end = range.end,
+            _ => self.ranges.push(range),
+        }
     }
 
     /// Returns the number of tasks.
@@ -29,7 +34,7 @@
     /// Returns whether there are no tasks.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.ranges.iter().all(Range::is_empty)
+        self.ranges.is_empty()
     }
 
     /// Returns the indices in ascending order.
@@ -40,13 +45,10 @@
 
 impl FromIterator<TaskIndex> for TaskList {
     fn from_iter<I: IntoIterator<Item = TaskIndex>>(indices: I) -> Self {
-        let mut ranges: Vec<Range<TaskIndex>> = Vec::new();
+        let mut list = Self::default();
         for index in indices {
-            match ranges.last_mut() {
-                Some(last) if last.end == index => last.end += 1,
-                _ => ranges.push(index..index + 1),
-            }
+            list.push(index..index + 1);
         }
-        Self { ranges }
+        list
     }
 }
