--- a/crates/workload/src/progress_rows.rs
+++ b/crates/workload/src/progress_rows.rs
@@ -22,6 +22,7 @@
 use crate::UnitProgress;
 use crate::WorkerRef;
 use crate::progress::StepProgress;
+use crate::task_set::TaskSet;
 use crate::task_set::WORD_BITS;
 
 /// Length, in bytes, beyond which a row holds no evidence of crashes. Without it, a row is shorter than that.
@@ -123,14 +124,12 @@
             ..Summary::default()
         };
         for (occurrence, steps) in &self.occurrences {
-            let mut words = Vec::new();
-            for (index, _) in steps.iter().enumerate().filter(|(_, step)| step.is_done) {
-                let word = index / WORD_BITS as usize;
-                words.resize(words.len().max(word + 1), 0);
-                words[word] |= 1_u64 << (index % WORD_BITS as usize);
+            let mut done = TaskSet::default();
+            for (index, _) in (0..).zip(steps).filter(|(_, step)| step.is_done) {
+                done.insert(index);
             }
-            if !words.is_empty() {
-                summary.done_steps.insert(*occurrence, words);
+            if done.len() > 0 {
+                summary.done_steps.insert(*occurrence, done.into_words());
             }
         }
         if !spec.has_part_rows() {
--- a/crates/workload/src/task_set.rs
+++ b/crates/workload/src/task_set.rs
@@ -1,11 +1,11 @@
-//! Set of the units of a step.
+//! Set of indices, such as those of the units of a step.
 
 use std::ops::Range;
 
-/// Number of units in one word of a set.
+/// Number of indices in one word of a set.
 pub(crate) const WORD_BITS: u32 = u64::BITS;
 
-/// Set of units of one step, by their index, with one bit each.
+/// Set of indices, with one bit each.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct TaskSet {
     words: Vec<u64>,
@@ -13,7 +13,7 @@
 }
 
 impl TaskSet {
-    /// Returns the number of units in the set.
+    /// Returns the number of indices in the set.
     pub(crate) fn len(&self) -> u32 {
         self.count
     }
@@ -27,7 +27,12 @@
         self.set_word(word, self.word(word) | (1 << (index % WORD_BITS)));
     }
 
-    /// Returns the bits of the units from `index * WORD_BITS` on.
+    /// Returns the words of the set up to the last one that is not zero.
+    pub(crate) fn into_words(self) -> Vec<u64> {
+        self.words
+    }
+
+    /// Returns the bits of the indices from `index * WORD_BITS` on.
     pub(crate) fn word(&self, index: u32) -> u64 {
         self.words.get(index as usize).copied().unwrap_or(0)
     }
@@ -44,7 +49,7 @@
         self.count = self.count + bits.count_ones() - before.count_ones();
     }
 
-    /// Returns the units below `end` that are not in the set, as ranges in ascending order.
+    /// Returns the indices below `end` that are not in the set, as ranges in ascending order.
     pub(crate) fn absent_ranges(&self, end: u32) -> AbsentRanges<'_> {
         AbsentRanges {
             set: self,
