--- a/crates/supervisor/src/orders.rs
+++ b/crates/supervisor/src/orders.rs
@@ -132,15 +132,7 @@
                 }
             }
         }
-        info!(target: event::START_CARRIED_OUT,
-            task:% = run.task,
-            run = run.run,
-            epoch = orders.epoch,
-            worker = &*orders.worker.id,
-            outcome = outcome.name();
-            ""
-        );
-        StartResult { run, outcome }
+        carried_out(event::START_CARRIED_OUT, orders, run, outcome)
     }
 
     /// Returns whether the worker listed the run as running, or has started it since, and its lease has not lapsed.
@@ -242,15 +234,7 @@
         runs.zip(outcomes)
             .map(|(run, outcome)| {
                 let outcome = outcome.unwrap_or(TaskOutcome::Unknown);
-                info!(target: event::STOP_CARRIED_OUT,
-                    task:% = run.task,
-                    run = run.run,
-                    epoch = orders.epoch,
-                    worker = &*orders.worker.id,
-                    outcome = outcome.name();
-                    ""
-                );
-                StartResult { run, outcome }
+                carried_out(event::STOP_CARRIED_OUT, orders, run, outcome)
             })
             .collect()
     }
@@ -328,6 +312,19 @@
     }
 }
 
+/// Logs the outcome of an order for one task, and returns its result.
+fn carried_out(target: &str, orders: &Orders, run: TaskRun, outcome: TaskOutcome) -> StartResult {
+    info!(target: target,
+        task:% = run.task,
+        run = run.run,
+        epoch = orders.epoch,
+        worker = &*orders.worker.id,
+        outcome = outcome.name();
+        ""
+    );
+    StartResult { run, outcome }
+}
+
 /// Awaits requests to the worker, [`MAX_PARALLEL_REQUESTS`] at a time, and returns the results in their order.
 async fn in_parallel<T>(requests: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
     stream::iter(requests)
