--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -100,8 +100,8 @@
     ///
     /// # Errors
     /// `store_unavailable` when the job was not accepted and will never run, `store_unknown` when it is unknown
-    /// whether it was accepted, `bad_request` when it is malformed, `too_large` when no row can hold it, `unsupported` when the queue restricts its
-    /// workers by advice, `forbidden` when the id belongs to another customer.
+    /// whether it was accepted, `bad_request` when it is malformed, `too_large` when no row can hold it, `unsupported`
+    /// when the queue restricts its workers by advice, `forbidden` when the id belongs to another customer.
     pub async fn submit(
         &self,
         caller: &Caller,
