--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,6 +8,8 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 from standins import Client, job_id, manifest, play, task, work_ms
 
+# One crash among them is a share of 0.125.
+WORKERS = 8
 DOWN_S = 0.3
 # The worker checks in every 1.5 s (`heartbeatMs`), for the first time 1 s after its start.
 FIRST_CHECK_IN_S = 1.0
@@ -20,14 +22,15 @@
 def case(deployment, trouble, record):
     client = Client(deployment, "port-key")
     warm = job_id()
-    client.submit("normal", warm, [task(gpu=8, count=2, estimate_ms=200)], spec="work=200")
+    client.submit("normal", warm, [task(gpu=8, count=WORKERS, estimate_ms=200)], spec="work=200")
     deployment.wait_for("the ends of the first job", 10.0, lambda: all(worker.noted for worker in deployment.workers))
     time.sleep(1.0)
-    # The other worker is busy.
+    # The other workers are busy.
     filler = job_id()
-    client.submit("normal", filler, [task(gpu=8, estimate_ms=60000)], spec="work=60000")
-    busy = deployment.wait_for("the filler", 10.0, lambda: deployment.runs(filler))[0].worker
-    worker = next(worker for worker in deployment.workers if worker is not busy)
+    client.submit("normal", filler, [task(gpu=8, count=WORKERS - 1, estimate_ms=60000)], spec="work=60000")
+    deployment.wait_for("the fillers", 10.0, lambda: len(deployment.runs(filler)) == WORKERS - 1)
+    busy = [run.worker for run in deployment.runs(filler)]
+    worker = next(worker for worker in deployment.workers if worker not in busy)
     time.sleep(1.0)
     if trouble:
         worker.same_id, worker.first_check_in_s = True, FIRST_CHECK_IN_S
@@ -48,4 +51,4 @@
     return broken
 
 
-play(FOLDER, case, entries=2, workers=2, behaviour=behaviour, config=manifest())
+play(FOLDER, case, entries=2, workers=WORKERS, behaviour=behaviour, config=manifest())
