--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -246,6 +246,7 @@
         self.zone = ZONES[number % len(ZONES)][0]
         self.rack = f"{self.zone[:2]}-{number // len(ZONES) // RACK_SIZE}"
         self.lives = 0
+        self.kind, self.capacity = "a", CAPACITY
         # Ends of all lives, for the checks of the cases.
         self.ends_of = []
         self.starts_of = []
@@ -281,7 +282,7 @@
 
     def room(self):
         used = {name: sum(run["demand"].get(name, 0) for run in self.running.values()) for name in CAPACITY}
-        return {name: CAPACITY[name] - used[name] for name in CAPACITY}
+        return {name: self.capacity[name] - used[name] for name in self.capacity}
 
     async def run(self):
         server = await serve_http(self.address, self.handle)
@@ -305,8 +306,8 @@
             "slots": 8,
             "state": "ready",
             "coldRemainingMs": 0,
-            "capacity": CAPACITY,
-            "labels": ["a", self.rack],
+            "capacity": self.capacity,
+            "labels": [self.kind, self.rack],
             "clockMs": self.clock_ms(),
             "seq": self.sequence,
             "machine": self.machine,
