--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 python3 - <<'CHECK'
 import ast
 import pathlib
-for path in [pathlib.Path("review/standins-2/standins.py"), *sorted(pathlib.Path("review").glob("[0-9]*/case.py"))]:
+for path in [*sorted(pathlib.Path("review/standins-2").glob("*.py")), *sorted(pathlib.Path("review").glob("[0-9]*/case.py"))]:
     ast.parse(path.read_text(), str(path))
 CHECK
 test -x target/release/nutmegwalk-platform || cargo build --release --locked --offline -p nutmegwalk-platform
