--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -301,6 +301,7 @@
         self.beats = True
         self.control = (ip, CONTROL)
         self.on_start = None
+        self.sheds = False
         self.server = HttpServer(self.handle)
         self.life = 0
         self.begin_life()
@@ -418,6 +419,9 @@
         return 200, {"clockMs": self.clock_ms(), "born": self.born, "running": running, "ended": self.ended[:500]}
 
     def run_start(self, body):
+        if self.sheds:
+            self.world.record("start refused with 503", worker=self.id, task=body["task"], run=body["run"])
+            return 503, None
         self.extend(body["deadlineMs"])
         task, number = body["task"], body["run"]
         known = self.running.get(task)
@@ -653,7 +657,7 @@
             f"internalPorts={INTERNAL},{INTERNAL + 15}\nplatform.address={ip}:{STORE}\n{BOUNDS}{extra}"
         )
 
-    async def start(self, config, entries=2, workers=4, capacity=None, cut_host=None, zone_of=None):
+    async def start(self, config, entries=2, workers=4, capacity=None, cut_host=None, zone_of=None, kinds=None):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the program is not built")
         self.publish(config)
@@ -667,7 +671,7 @@
                 await self.store.server(*self.links.translations()).start(ip, STORE + 100)
             else:
                 await self.store.server().start(ip, STORE)
-            worker = Worker(self, number, ip, zone[0], f"r-{number // 3}", capacity)
+            worker = Worker(self, number, ip, zone[0], f"r-{number // 3}", capacity, (kinds or {}).get(number, "a"))
             await worker.start()
             self.workers.append(worker)
             name = f"side-{zone[0]}-{number}"
