--- a/review/12/run.py
+++ b/review/12/run.py
@@ -4,30 +4,39 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
 from standins import asyncio, configuration, job, play, step
 
-URGENT = "/urgent/00000000000000a1"
-LASTING = "/low/00000000000000b1"
-WORKERS = 3
-RECLAIM_S = 2.7
+BUSY = "/normal/00000000000000b1"
+APART = "/normal/00000000000000a1"
+WORKERS = 7
+TASKS, LIMIT = 2, 1
 
 
 async def scenario(world, trouble):
-    await world.start(configuration(1), workers=WORKERS)
-    if trouble:
-        # Another tenant uses what is idle: one lasting task of 8 GPUs for each worker.
-        body = job("lasts gpu=8", step(WORKERS, 8, longRunning=True))
-        await world.submit(LASTING, "harbour-key", body)
-        await world.wait_until(lambda: len(world.found("run started")) == WORKERS, 10, "the lasting tasks did not start")
-        await asyncio.sleep(8)
-    accepted_at = await world.submit(URGENT, "mill-key", job("work=3 gpu=8", step(1, 8)))
-    await asyncio.sleep(20)
-    task = URGENT[-16:] + ".0.0.0"
-    starts = [at for at, _, fields in world.found("run started") if fields["task"] == task]
-    state = await world.client("GET", URGENT, "mill-key")
-    world.record("judged", accepted_at=accepted_at, starts=starts, state=state)
-    if not starts or starts[0] > accepted_at + RECLAIM_S:
-        return [f"RECLAIM: a job of priority 0 within its tenant's guarantee had not begun {RECLAIM_S} s after its "
-                f"confirmation: {'never begun in 20 s' if not starts else f'begun after {starts[0] - accepted_at:.1f} s'}"]
-    return []
+    # Three of the seven workers are of the kind that the jobs require.
+    await world.start(configuration(1), workers=WORKERS, kinds={4: "b", 5: "b", 6: "b"})
+    # One of them is taken by another job for 10 s.
+    await world.submit(BUSY, "harbour-key", job("work=10 gpu=8", step(1, 8, estimate=10000, requirements="b")))
+    await world.wait_until(lambda: world.found("run started"), 10, "the first job did not start")
+    at_once = {}
+
+    def started(worker, run):
+        tasks = [known.task for known in worker.running.values() if known.task[:16] == APART[-16:]]
+        if len(tasks) > LIMIT:
+            at_once[worker.id] = sorted(tasks)
+        if trouble and run.task[:16] == APART[-16:] and run.run == 1:
+            # Each of the tasks fails once, through its own fault.
+            asyncio.get_running_loop().call_later(2.0, worker.end, run, "failed")
+
+    for worker in world.workers:
+        worker.on_start = started
+    body = job("work=6 gpu=1", step(TASKS, 1, estimate=6000, requirements="b", antiAffinity=LIMIT))
+    await world.submit(APART, "mill-key", body)
+    await asyncio.sleep(24)
+    state = await world.client("GET", APART, "mill-key")
+    world.record("judged", at_once=at_once, state=state)
+    return [
+        f"ROUTE: {len(tasks)} tasks of a step with antiAffinity {LIMIT} were started on worker {worker} and ran there at the "
+        f"same time: {' '.join(tasks)}" for worker, tasks in at_once.items()
+    ]
 
 
 play(__file__, scenario)
