--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -28,7 +28,7 @@
 STOP_S = 0.05
 ROUND_TRIP_S = 0.04
 GANG_S = 3.0
-ZONES = [("ventspils", "kurzeme"), ("valmiera", "vidzeme"), ("rezekne", "latgale")]
+ZONES = [("recife-suape", "recife"), ("fortaleza-pecem", "fortaleza"), ("salvador-aratu", "salvador")]
 BOUNDS = """bounds.seedLagS=3
 bounds.addrReuseS=2
 bounds.contactMs=4000
@@ -295,7 +295,7 @@
     def __init__(self, world, number, ip, zone, rack, capacity, label="a"):
         self.world, self.number, self.ip, self.zone = world, number, ip, zone
         self.machine, self.labels, self.capacity = f"m-{number}", [label, rack], capacity
-        self.service = "plank-desk"
+        self.service = "spoil-tickets"
         self.state = "ready"
         self.is_up = True
         self.beats = True
@@ -661,7 +661,7 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the program is not built")
         self.publish(config)
-        capacity = capacity or {"cpu": 128000, "memMb": 262144, "gpu": 8}
+        capacity = capacity or {"cpu": 64000, "memMb": 131072, "gpu": 8}
         for number in range(workers):
             zone = (zone_of or (lambda n: ZONES[n % 3]))(number)
             ip = f"{self.network}.{number + 1}"
@@ -748,14 +748,14 @@
     """Queues `urgent` (priority 0), `normal` (1) and `low` (2), and the tenants with their keys `NAME-key`."""
     routes = [
         {
-            "name": name, "host": "desk.example", "pathPrefix": f"/{name}/", "service": "plank-desk",
+            "name": name, "host": "desk.example", "pathPrefix": f"/{name}/", "service": "spoil-tickets",
             "priority": priority, "maxAttempts": attempts, "stretch": 3.0, "targetCompletionMs": 1000,
         }
         for name, priority in (("urgent", 0), ("normal", 1), ("low", 2))
     ]
     tenants = [{"name": name, "apiKeys": [f"{name}-key"], "guaranteed": {"gpu": gpu}} for name, gpu in guaranteed]
     return {
-        "version": version, "routes": routes, "services": [{"name": "plank-desk"}], "tenants": tenants,
+        "version": version, "routes": routes, "services": [{"name": "spoil-tickets"}], "tenants": tenants,
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
     }
 
