Log when reports of another process of an agent are applied

The owner dropped late reports without a line, and nothing told which process of an agent had superseded a worker, so the ways to the second run of review/11 could not be told apart. New events: agent_joined, report_late, worker_superseded. No decision changes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -135,6 +135,12 @@
     RUN_ENDED = "run_ended";
     /// The owner has found that the runs on a worker are lost.
     RUNS_LOST = "runs_lost";
+    /// The owner applies reports of another process of an agent, or of the first one in its term.
+    AGENT_JOINED = "agent_joined";
+    /// The owner has dropped a report because a later one of the agent was applied before.
+    REPORT_LATE = "report_late";
+    /// An incarnation of a worker is over, because its agent has reported a later one.
+    WORKER_SUPERSEDED = "worker_superseded";
     /// A worker has crashed when it had just started this run.
     RUN_CRASHED_WORKER = "run_crashed_worker";
     /// A run has outlived its start, so earlier crashes of workers are no longer held against its task.
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -72,10 +72,34 @@
     /// Records the agent; `None` if a later report of it was received before.
     fn record_agent(&self, report: &Report, now: Instant) -> Option<ReportedWorker> {
         let mut state = self.state.borrow_mut();
+        let known = state.agents.get(&report.agent);
+        let known_incarnation = known.map(|known| known.incarnation);
+        let reported_worker = report.worker.as_ref().map(|status| {
+            let worker = &status.announcement.worker;
+            format!("{}/{}", worker.id, worker.born_unix_ms)
+        });
+        let reported_worker = reported_worker.as_deref().unwrap_or("");
         if state.is_late(report, now) {
+            info!(target: event::REPORT_LATE,
+                agent = &*report.agent,
+                incarnation = report.incarnation,
+                report = report.sequence,
+                known_incarnation:? = known_incarnation,
+                worker = reported_worker;
+                ""
+            );
             return None;
         }
-        let known = state.agents.get(&report.agent);
+        if known_incarnation != Some(report.incarnation) {
+            info!(target: event::AGENT_JOINED,
+                agent = &*report.agent,
+                incarnation = report.incarnation,
+                report = report.sequence,
+                known_incarnation:? = known_incarnation,
+                worker = reported_worker;
+                ""
+            );
+        }
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = report
             .worker
--- a/crates/domain/src/superseded.rs
+++ b/crates/domain/src/superseded.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use log::info;
+
 use crate::term::Term;
 use nutmegwalk_base::clock;
+use nutmegwalk_base::event;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_workload::Run;
 use nutmegwalk_workload::TaskIndex;
@@ -17,6 +20,15 @@
     /// start them later. They are stopped there first.
     pub(crate) fn end_superseded_workers(&self, report: &Report, worker: &WorkerRef) {
         for superseded in self.superseded_workers(report, worker) {
+            info!(target: event::WORKER_SUPERSEDED,
+                worker = &*superseded.id,
+                born_unix_ms = superseded.born_unix_ms,
+                successor = &*worker.id,
+                successor_born_unix_ms = worker.born_unix_ms,
+                agent_incarnation = report.incarnation,
+                report = report.sequence;
+                ""
+            );
             if superseded.id == worker.id {
                 self.stop_on_successor(&superseded, worker);
             } else {
