Apply reports only of processes that are alive after the known one

The owner took the worker that the successor had reported for superseded, declared its runs lost and started the task again beside it.

Cause: reports of two processes of an agent had no order. State::is_late made one up from the heartbeats of the worker, if the owner still knew that worker. A report of a removed life, of no worker, after 2.5 s of silence, or to an owner that knew neither process passed.

Change: a report names the last answer that its process has received. The owner applies reports of another process only if that answer is of its own term and later than its first contact with the known process, which an ended process cannot have received. A living process is asked to confirm, and does so with its next report. Reports that are not applied renew no lease, set no time of day and do not count as notice of a crash.

--- a/crates/assembly/src/agent.rs
+++ b/crates/assembly/src/agent.rs
@@ -41,6 +41,7 @@
 use nutmegwalk_supervisor::OrdersAnswer;
 use nutmegwalk_supervisor::PeersAnswer;
 use nutmegwalk_supervisor::PeersRequest;
+use nutmegwalk_supervisor::ReceivedAnswer;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::Supervisor;
@@ -61,6 +62,9 @@
     pub timeout: Duration,
     /// Pause after a report that failed or was not answered.
     pub retry_pause: Duration,
+    /// Pause before the report that confirms that this process is alive; the owner's clock has to advance meanwhile, which it
+    /// shows in milliseconds.
+    pub confirmation_pause: Duration,
     /// Time without an answer after which an agent contends for the ownership although it is not a standby.
     pub contend_after: Duration,
 }
@@ -71,6 +75,7 @@
             interval: Duration::from_millis(1_000),
             timeout: Duration::from_millis(700),
             retry_pause: Duration::from_millis(150),
+            confirmation_pause: Duration::from_millis(2),
             contend_after: Duration::from_millis(3_000),
         }
     }
@@ -115,6 +120,8 @@
     sequence: Cell<u64>,
     /// When an owner last answered a report of this process.
     answered_at: Cell<Option<Instant>>,
+    /// Last answer of an owner that this process has received.
+    last_answer: Cell<ReceivedAnswer>,
     is_standby: Cell<bool>,
     contending: RefCell<Option<JoinHandle<()>>>,
     drain: Drain,
@@ -166,6 +173,7 @@
                 locator,
                 sequence: Cell::new(0),
                 answered_at: Cell::new(None),
+                last_answer: Cell::default(),
                 is_standby: Cell::new(false),
                 contending: RefCell::new(None),
                 drain: Drain::new(),
@@ -248,11 +256,15 @@
         let mut is_failing = false;
         loop {
             match self.report_once().await {
-                Ok(()) => {
+                Ok(answer) => {
                     if is_failing {
                         info!(target: event::OWNER_REGAINED, epoch = self.supervisor.epoch(); "");
                     }
                     is_failing = false;
+                    if answer.is_unconfirmed {
+                        compio::time::sleep(self.settings.reports.confirmation_pause).await;
+                        continue;
+                    }
                     // The timeout is the usual case: nothing changed within the interval.
                     let _ = compio::time::timeout(
                         self.settings.reports.interval,
@@ -275,7 +287,7 @@
         }
     }
 
-    async fn report_once(&self) -> Result<()> {
+    async fn report_once(&self) -> Result<ReportAnswer> {
         let Some(address) = self.locator.address() else {
             let detail = "no owner is known";
             return Err(Error::new(ErrorKind::Unreachable, detail));
@@ -291,11 +303,15 @@
                 .await?
         };
         self.apply_answer(&answer, sent_at);
-        Ok(())
+        Ok(answer)
     }
 
     fn apply_answer(&self, answer: &ReportAnswer, sent_at: Instant) {
         self.answered_at.set(Some(clock::now()));
+        self.last_answer.set(ReceivedAnswer {
+            epoch: answer.epoch,
+            owner_clock_ms: answer.owner_clock_ms,
+        });
         self.is_standby.set(answer.is_standby);
         self.ports.peers.set(answer.peers.clone());
         self.supervisor.apply_answer(answer, sent_at);
@@ -310,6 +326,7 @@
             sequence,
             address: self.address,
             epoch: self.supervisor.epoch(),
+            last_answer: Some(self.last_answer.get()),
             is_eligible: !self.drain.is_started(),
             unix_ms: clock::unix_ms(),
             worker: self.supervisor.status(),
--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,7 @@
 use nutmegwalk_supervisor::EndedTask;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::OrdersAnswer;
+use nutmegwalk_supervisor::ReceivedAnswer;
 use nutmegwalk_supervisor::Refusal;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
@@ -37,6 +39,8 @@
 use nutmegwalk_workload::WorkerRef;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before a report that confirms that its process is alive.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(2);
 /// Incarnation of the agent's process before.
 const ENDED_INCARNATION: Incarnation = 100;
 
@@ -48,6 +52,8 @@
     /// Incarnation of the process that the next report comes from.
     pub(crate) incarnation: Cell<Incarnation>,
     epoch: Cell<Epoch>,
+    /// Last answer that each process has received.
+    last_answers: RefCell<BTreeMap<Incarnation, ReceivedAnswer>>,
     received: RefCell<Received>,
     /// Reactions to the next messages with starts; the others are carried out.
     pub(crate) reactions: RefCell<VecDeque<Reaction>>,
@@ -86,6 +92,7 @@
             sequence: Cell::new(0),
             incarnation: Cell::new(1),
             epoch: Cell::new(0),
+            last_answers: RefCell::default(),
             received: RefCell::default(),
             reactions: RefCell::default(),
         });
@@ -99,41 +106,62 @@
         self.epoch.set(answer.expect("the owner answers").epoch);
     }
 
-    /// Sends a report to the owner.
+    /// Sends a report to the owner, again if the owner asks for a confirmation.
     pub(crate) async fn try_report(
         &self,
         owner: SocketAddr,
         worker: WorkerStatus,
     ) -> Result<ReportAnswer> {
-        self.sequence.set(self.sequence.get() + 1);
-        self.send_report(owner, self.incarnation.get(), self.sequence.get(), worker)
-            .await
-    }
-
-    /// Sends a report of an earlier process of the agent, which arrives late.
-    pub(crate) async fn report_of_ended_process(&self, owner: SocketAddr, worker: WorkerStatus) {
-        let answer = self.send_report(owner, ENDED_INCARNATION, 1, worker).await;
-        answer.expect("the owner answers");
+        loop {
+            let report = self.make_report(worker.clone());
+            let answer = self.deliver(owner, &report).await?;
+            let received = ReceivedAnswer {
+                epoch: answer.epoch,
+                owner_clock_ms: answer.owner_clock_ms,
+            };
+            self.last_answers
+                .borrow_mut()
+                .insert(report.incarnation, received);
+            if !answer.is_unconfirmed {
+                return Ok(answer);
+            }
+            compio::time::sleep(CONFIRMATION_PAUSE).await;
+        }
     }
 
-    async fn send_report(
-        &self,
-        owner: SocketAddr,
-        incarnation: Incarnation,
-        sequence: u64,
-        worker: WorkerStatus,
-    ) -> Result<ReportAnswer> {
-        let report = Report {
+    /// Returns the next report of the current process.
+    pub(crate) fn make_report(&self, worker: WorkerStatus) -> Report {
+        self.sequence.set(self.sequence.get() + 1);
+        let incarnation = self.incarnation.get();
+        let last_answers = self.last_answers.borrow();
+        Report {
             agent: "scripted".into(),
             incarnation,
-            sequence,
+            sequence: self.sequence.get(),
             address: self.address,
             epoch: self.epoch.get(),
+            last_answer: Some(last_answers.get(&incarnation).copied().unwrap_or_default()),
             is_eligible: false,
             unix_ms: nutmegwalk_base::clock::unix_ms(),
             worker: Some(worker),
+        }
+    }
+
+    /// Delivers a report that may have been made long before, by a process that has ended.
+    pub(crate) async fn deliver(&self, owner: SocketAddr, report: &Report) -> Result<ReportAnswer> {
+        self.client.send(owner, report, REPORT_TIMEOUT).await
+    }
+
+    /// Delivers a report of an earlier process of the agent that no owner has answered.
+    pub(crate) async fn report_of_ended_process(&self, owner: SocketAddr, worker: WorkerStatus) {
+        let report = Report {
+            incarnation: ENDED_INCARNATION,
+            sequence: 1,
+            last_answer: Some(ReceivedAnswer::default()),
+            ..self.make_report(worker)
         };
-        self.client.send(owner, &report, REPORT_TIMEOUT).await
+        let answer = self.deliver(owner, &report).await;
+        answer.expect("the owner answers");
     }
 
     /// Returns the runs of a task that the agent was ordered to start.
--- a/crates/assembly/tests/lapse.rs
+++ b/crates/assembly/tests/lapse.rs
@@ -118,11 +118,9 @@
         current.announcement.sequence = late.announcement.sequence + 1;
         agent.incarnation.set(2);
         agent.report(owner, current.clone()).await;
-        agent.incarnation.set(1);
-        agent.report(owner, late).await;
+        agent.report_of_ended_process(owner, late).await;
         domain.submit("normal", "a", gang(1, 100)).await;
         domain.submit("normal", "small", job(1, 100)).await;
-        agent.incarnation.set(2);
         while agent.ordered_runs("small.0.0.0").is_empty() && agent.ordered_runs(TASK).is_empty() {
             agent.report(owner, current.clone()).await;
             compio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -137,8 +137,8 @@
     RUNS_LOST = "runs_lost";
     /// The owner applies reports of another process of an agent, or of the first one in its term.
     AGENT_JOINED = "agent_joined";
-    /// The owner has dropped a report because a later one of the agent was applied before.
-    REPORT_LATE = "report_late";
+    /// A report was not applied: a later one came before, or its process has yet to show that it is alive.
+    REPORT_DROPPED = "report_dropped";
     /// An incarnation of a worker is over, because its agent has reported a later one.
     WORKER_SUPERSEDED = "worker_superseded";
     /// A worker has crashed when it had just started this run.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -21,6 +21,7 @@
 mod readiness;
 mod replica;
 mod report;
+mod report_order;
 mod run_index;
 mod settings;
 mod snapshot;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -14,13 +14,14 @@
 use crate::job::AssignmentState;
 use crate::job::StopState;
 use crate::metrics::DomainMetrics;
+use crate::report_order::ReportOrder;
 use crate::term::State;
 use crate::term::Term;
 use crate::term::as_ms;
 use crate::worker::AgentInfo;
-use crate::worker::REPORT_TIMEOUT;
 use crate::worker::UnexpectedRun;
 use crate::worker::Worker;
+use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
@@ -49,10 +50,12 @@
     /// Applies a report and returns the answer.
     pub(crate) fn apply_report(self: &Rc<Self>, report: &Report) -> ReportAnswer {
         let now = clock::now();
+        let reported = match self.record_agent(report, now) {
+            Ok(reported) => reported,
+            Err(order) => return self.answer_without_effect(report, order, now),
+        };
         self.wall_clock.observe(&report.agent, report.unix_ms);
-        if let Some(reported) = self.record_agent(report, now)
-            && let Some(status) = &report.worker
-        {
+        if let Some(status) = &report.worker {
             // A heartbeat alone does not prove that the incarnation exists.
             if reported == ReportedWorker::Other && status.answer_age_ms.is_some() {
                 self.end_superseded_workers(report, &status.announcement.worker);
@@ -69,37 +72,27 @@
         self.answer(report, now)
     }
 
-    /// Records the agent; `None` if a later report of it was received before.
-    fn record_agent(&self, report: &Report, now: Instant) -> Option<ReportedWorker> {
+    /// Records the agent. Returns an error if the report may not be applied.
+    fn record_agent(
+        &self,
+        report: &Report,
+        now: Instant,
+    ) -> std::result::Result<ReportedWorker, ReportOrder> {
         let mut state = self.state.borrow_mut();
         let known = state.agents.get(&report.agent);
         let known_incarnation = known.map(|known| known.incarnation);
-        let reported_worker = report.worker.as_ref().map(|status| {
-            let worker = &status.announcement.worker;
-            format!("{}/{}", worker.id, worker.born_unix_ms)
-        });
-        let reported_worker = reported_worker.as_deref().unwrap_or("");
-        if state.is_late(report, now) {
-            info!(target: event::REPORT_LATE,
-                agent = &*report.agent,
-                incarnation = report.incarnation,
-                report = report.sequence,
-                known_incarnation:? = known_incarnation,
-                worker = reported_worker;
-                ""
-            );
-            return None;
-        }
-        if known_incarnation != Some(report.incarnation) {
-            info!(target: event::AGENT_JOINED,
-                agent = &*report.agent,
-                incarnation = report.incarnation,
-                report = report.sequence,
-                known_incarnation:? = known_incarnation,
-                worker = reported_worker;
-                ""
-            );
+        let order = state.order_of(report, self.epoch(), now);
+        if order != ReportOrder::Latest {
+            log_report(event::REPORT_DROPPED, report, known_incarnation);
+            return Err(order);
         }
+        let joined_at_ms = match known {
+            Some(known) if known.incarnation == report.incarnation => known.joined_at_ms,
+            _ => {
+                log_report(event::AGENT_JOINED, report, known_incarnation);
+                self.clock_ms(now)
+            }
+        };
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = report
             .worker
@@ -114,6 +107,7 @@
         let info = AgentInfo {
             incarnation: report.incarnation,
             sequence: report.sequence,
+            joined_at_ms,
             address: report.address,
             is_eligible: report.is_eligible,
             data_centre: announcement.map(|announcement| announcement.data_centre.clone()),
@@ -121,7 +115,7 @@
             last_report_at: now,
         };
         state.agents.insert(report.agent.clone(), info);
-        Some(reported)
+        Ok(reported)
     }
 
     /// Ends the runs that are over because the worker's lease has lapsed since they were assigned.
@@ -293,7 +287,28 @@
         known.unexpected_runs = unexpected_runs;
     }
 
-    /// Builds the answer to a report.
+    /// Builds the answer to a report that was not applied.
+    fn answer_without_effect(
+        &self,
+        report: &Report,
+        order: ReportOrder,
+        now: Instant,
+    ) -> ReportAnswer {
+        let mut state = self.state.borrow_mut();
+        state.refresh_directory(now);
+        ReportAnswer {
+            epoch: self.epoch(),
+            worker: None,
+            acknowledged: 0,
+            hold_for_ms: 0,
+            owner_clock_ms: self.clock_ms(now),
+            is_unconfirmed: order == ReportOrder::Unconfirmed,
+            is_standby: state.directory.is_standby(&report.agent),
+            peers: state.directory.peers(Some(&report.agent)),
+        }
+    }
+
+    /// Builds the answer to a report that was applied.
     fn answer(&self, report: &Report, now: Instant) -> ReportAnswer {
         let mut state = self.state.borrow_mut();
         state.refresh_directory(now);
@@ -329,6 +344,7 @@
             acknowledged,
             hold_for_ms: as_ms(worker_lease),
             owner_clock_ms: self.clock_ms(now),
+            is_unconfirmed: false,
             is_standby,
             peers: state.directory.peers(Some(&report.agent)),
         }
@@ -343,29 +359,6 @@
 }
 
 impl State {
-    /// Returns whether a later report of the agent, or of a later process of it, was received before.
-    fn is_late(&self, report: &Report, now: Instant) -> bool {
-        let Some(known) = self.agents.get(&report.agent) else {
-            return false;
-        };
-        if known.incarnation == report.incarnation {
-            return known.sequence >= report.sequence;
-        }
-        if now.saturating_duration_since(known.last_report_at) > REPORT_TIMEOUT {
-            return false;
-        }
-        // Incarnations have no order, but the worker's heartbeats do: a new process knows only later ones.
-        report.worker.as_ref().is_some_and(|status| {
-            let announcement = &status.announcement;
-            self.workers
-                .get(&announcement.worker.id)
-                .is_some_and(|worker| {
-                    worker.announcement.worker == announcement.worker
-                        && worker.announcement.sequence >= announcement.sequence
-                })
-        })
-    }
-
     /// Records that a worker has a task of a run; returns false if the run is unexpected there.
     fn record_running(
         &mut self,
@@ -487,6 +480,23 @@
     }
 }
 
+/// Logs what the owner does with a report of an agent whose known process is `known_incarnation`.
+fn log_report(event: &'static str, report: &Report, known_incarnation: Option<Incarnation>) {
+    let worker = report
+        .worker
+        .as_ref()
+        .map(|status| &status.announcement.worker);
+    info!(target: event,
+        agent = &*report.agent,
+        incarnation = report.incarnation,
+        report = report.sequence,
+        known_incarnation:? = known_incarnation,
+        worker = worker.map_or("", |worker| &*worker.id),
+        born_unix_ms = worker.map_or(0, |worker| worker.born_unix_ms);
+        ""
+    );
+}
+
 /// Returns the earliest time at which a worker leaves, if it has announced that.
 fn leaves_at(status: &WorkerStatus, now: Instant) -> Option<Instant> {
     let WorkerState::Draining {
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -24,6 +24,8 @@
 pub(crate) struct AgentInfo {
     pub(crate) incarnation: Incarnation,
     pub(crate) sequence: u64,
+    /// When the first report of this process was applied, on the clock of the term, in milliseconds.
+    pub(crate) joined_at_ms: u64,
     pub(crate) address: SocketAddr,
     /// Whether the agent can take over the ownership.
     pub(crate) is_eligible: bool,
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -94,6 +94,10 @@
     pub address: SocketAddr,
     /// Highest fencing epoch that the agent has seen.
     pub epoch: Epoch,
+    /// Last answer to a report that this process has received, from which the owner concludes that it was alive then. `None`
+    /// from an agent of an earlier release.
+    #[serde(default)]
+    pub last_answer: Option<ReceivedAnswer>,
     /// Whether the agent is able to take over the ownership.
     pub is_eligible: bool,
     /// The agent's time of day, in milliseconds since 1970.
@@ -102,6 +106,15 @@
     pub worker: Option<WorkerStatus>,
 }
 
+/// An answer that a process of an agent has received; zeros before the first one.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReceivedAnswer {
+    /// Epoch of the owner.
+    pub epoch: Epoch,
+    /// The owner's clock, as in [`ReportAnswer::owner_clock_ms`].
+    pub owner_clock_ms: u64,
+}
+
 /// The owner's answer to a report.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReportAnswer {
@@ -117,6 +130,9 @@
     /// The owner's clock, in milliseconds since its term began; zero from an owner of an earlier release.
     #[serde(default)]
     pub owner_clock_ms: u64,
+    /// Whether the report was not applied, as it does not show that its process is alive. The next one does.
+    #[serde(default)]
+    pub is_unconfirmed: bool,
     /// Whether the agent is a standby for the ownership.
     pub is_standby: bool,
     /// Other agents that can forward requests to the store.
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -240,7 +240,7 @@
         state.epoch = answer.epoch;
         let reported = state.crashes.iter_mut();
         for crash in reported.filter(|crash| crash.noticed_at <= sent_at) {
-            crash.is_answered = true;
+            crash.is_answered |= !answer.is_unconfirmed;
         }
         let mut is_renewable_again = false;
         if answer.hold_for_ms > 0 {
--- a/crates/supervisor/tests/common/mod.rs
+++ b/crates/supervisor/tests/common/mod.rs
@@ -59,6 +59,7 @@
         acknowledged: 0,
         hold_for_ms: 60_000,
         owner_clock_ms,
+        is_unconfirmed: false,
         is_standby: false,
         peers: Vec::new(),
     }
--- a/crates/supervisor/tests/crashes.rs
+++ b/crates/supervisor/tests/crashes.rs
@@ -20,10 +20,12 @@
 
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Result;
+use nutmegwalk_base::clock;
 use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_supervisor::Orders;
 use nutmegwalk_supervisor::PollAnswer;
 use nutmegwalk_supervisor::PollRequest;
+use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::StartAnswer;
 use nutmegwalk_supervisor::StartRequest;
 use nutmegwalk_supervisor::Supervisor;
@@ -122,6 +124,9 @@
     status.crashes.first().expect("a crash").clone()
 }
 
+/// Time after which a crash that was reported to an owner is reported no longer, with a margin.
+const CRASH_REPORT_TIME: Duration = Duration::from_millis(15_500);
+
 fn supervisor() -> Supervisor {
     Supervisor::new(Rc::new(SilentWorker), SupervisorTimings::default())
 }
@@ -150,6 +155,21 @@
         assert_eq!(crashed(&supervisor), [1, 2]);
     }
 
+    // Guards against a crash that no owner hears of, since the report of it was answered but not applied.
+    crash_in_a_report_that_was_not_applied_is_reported_again => {
+        let is_forgotten_after = async |is_unconfirmed: bool| {
+            let supervisor = supervisor();
+            supervisor.record_heartbeat(heartbeat(1));
+            supervisor.record_heartbeat(heartbeat(2));
+            let answer = ReportAnswer { is_unconfirmed, ..answer(EPOCH, 2) };
+            supervisor.apply_answer(&answer, clock::now());
+            compio::time::sleep(CRASH_REPORT_TIME).await;
+            crashed(&supervisor).is_empty()
+        };
+        let (unconfirmed, applied) = futures_util::join!(is_forgotten_after(true), is_forgotten_after(false));
+        assert!(applied && !unconfirmed);
+    }
+
     // Guards against blaming tasks for a worker that leaves after it has announced that.
     draining_incarnation_is_not_reported_as_crashed => {
         let supervisor = supervisor();
