Log the number of the decision that places tasks

Whether one decision or two placed them was not visible: tasks_placed now names the number of the decision. No decision changes.

--- a/crates/domain/src/owner.rs
+++ b/crates/domain/src/owner.rs
@@ -151,7 +151,7 @@
             state: RefCell::new(State::new(self.settings.health)),
             wake,
             is_loaded: Cell::new(false),
-            has_decided: Cell::new(false),
+            decisions: Cell::new(0),
         });
         *self.term.borrow_mut() = Some(Rc::clone(&term));
         let replica = Rc::new(JobReplica::new(Rc::clone(&term)));
--- a/crates/domain/src/planning.rs
+++ b/crates/domain/src/planning.rs
@@ -99,7 +99,8 @@
     fn plan_and_apply(self: &Rc<Self>) {
         let now = clock::now();
         let (snapshot, worker_refs) = self.snapshot(now);
-        if !self.has_decided.replace(true) {
+        let decision = self.decisions.get() + 1;
+        if self.decisions.replace(decision) == 0 {
             self.metrics
                 .record_takeover(now.saturating_duration_since(self.started_at));
         }
@@ -203,6 +204,7 @@
             .remove(&(step.occurrence, step.step, step.crash_risk));
         let places = places(assignments());
         info!(target: event::TASKS_PLACED,
+            decision = self.decisions.get(),
             job = &*step.job,
             occurrence = step.occurrence,
             step = step.step,
--- a/crates/domain/src/term.rs
+++ b/crates/domain/src/term.rs
@@ -71,8 +71,8 @@
     pub(crate) wake: Signal,
     /// Whether the jobs have been read from the store.
     pub(crate) is_loaded: Cell<bool>,
-    /// Whether a decision was made in this term.
-    pub(crate) has_decided: Cell<bool>,
+    /// Number of decisions made in this term.
+    pub(crate) decisions: Cell<u64>,
 }
 
 /// Jobs, workers and agents of the domain.
