Count what a decision places against the limits of its steps

The log shows two tasks_placed of the step with one number of the decision. Both last resorts do this, and may follow one another; the rack of a rack-sensitive step was derived likewise.

Change: the decision keeps what it places for each step, and limits of a step are obtained from there only (PlacedTasks, StepLimits). What is left after an earlier start of the decision is thus the same on every path.

--- a/crates/placement/src/fit.rs
+++ b/crates/placement/src/fit.rs
@@ -7,7 +7,7 @@
 
 use crate::Snapshot;
 use crate::WaitingStep;
-use crate::isolation::IsolationRules;
+use crate::limits::StepLimits;
 use crate::profile::FreeResources;
 use nutmegwalk_base::RackId;
 use nutmegwalk_workload::CrashRisk;
@@ -29,48 +29,8 @@
     Any,
 }
 
-/// Maximum number of further tasks of a step for each worker, regardless of its free resources.
-pub(crate) type TaskLimits = Vec<u32>;
-
-/// Workers that are used only as a last resort.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum LastResort {
-    /// No such workers.
-    None,
-    /// Workers in quarantine.
-    Quarantined,
-    /// Workers where tasks of the step have failed or stalled.
-    Excluded,
-}
-
-/// Returns how many tasks of a step each worker may still accept, regardless of its free resources.
-pub(crate) fn task_limits(
-    snapshot: &Snapshot,
-    rules: &IsolationRules,
-    step: &WaitingStep,
-    last_resort: LastResort,
-) -> TaskLimits {
-    let allowed = |index: usize| {
-        let is_closed = last_resort != LastResort::Quarantined
-            && snapshot.workers[index].is_quarantined
-            || last_resort != LastResort::Excluded && step.excluded.contains(&index);
-        if is_closed || !is_eligible(snapshot, step, index) {
-            return 0;
-        }
-        let by_step = step.max_tasks_per_worker.map_or(u32::MAX, |limit| {
-            let started = step
-                .started_tasks
-                .iter()
-                .find(|(worker, _)| *worker == index);
-            limit.saturating_sub(started.map_or(0, |(_, count)| *count))
-        });
-        by_step.min(rules.max_tasks(step, index))
-    };
-    (0..snapshot.workers.len()).map(allowed).collect()
-}
-
 /// Returns whether a worker may run tasks of the step.
-fn is_eligible(snapshot: &Snapshot, step: &WaitingStep, index: usize) -> bool {
+pub(crate) fn is_eligible(snapshot: &Snapshot, step: &WaitingStep, index: usize) -> bool {
     let worker = &snapshot.workers[index];
     worker.accepts_tasks
         && worker.service == step.service
@@ -95,11 +55,11 @@
     snapshot: &Snapshot,
     step: &WaitingStep,
     free: &FreeResources,
-    task_limits: &TaskLimits,
+    limits: &StepLimits,
     tasks: u32,
     locality: Locality,
 ) -> Vec<usize> {
-    let Some(mut counts) = counts(snapshot, step, free, task_limits, tasks, locality) else {
+    let Some(mut counts) = counts(snapshot, step, free, limits, tasks, locality) else {
         return Vec::new();
     };
     if step.is_gang {
@@ -137,11 +97,11 @@
     snapshot: &Snapshot,
     step: &WaitingStep,
     free: &FreeResources,
-    task_limits: &TaskLimits,
+    limits: &StepLimits,
     tasks: u32,
     locality: Locality,
 ) -> bool {
-    counts(snapshot, step, free, task_limits, tasks, locality)
+    counts(snapshot, step, free, limits, tasks, locality)
         .is_some_and(|counts| total(&counts) >= u64::from(tasks))
 }
 
@@ -150,12 +110,12 @@
     snapshot: &Snapshot,
     step: &WaitingStep,
     free: &FreeResources,
-    task_limits: &TaskLimits,
+    limits: &StepLimits,
     tasks: u32,
     locality: Locality,
 ) -> bool {
     let required = if step.is_gang { tasks } else { 1 };
-    counts(snapshot, step, free, task_limits, tasks, locality)
+    counts(snapshot, step, free, limits, tasks, locality)
         .is_some_and(|counts| total(&counts) >= u64::from(required))
 }
 
@@ -165,13 +125,13 @@
     snapshot: &Snapshot,
     step: &WaitingStep,
     free: &FreeResources,
-    task_limits: &TaskLimits,
+    limits: &StepLimits,
     tasks: u32,
     locality: Locality,
 ) -> Option<Vec<u32>> {
     let counts: Vec<u32> = free
         .iter()
-        .zip(task_limits)
+        .zip(limits.max_tasks())
         .map(|(free, allowed)| count_on(step, *free, *allowed, tasks))
         .collect();
     if step.is_gang && total(&counts) < u64::from(tasks) {
@@ -179,7 +139,7 @@
     }
     match locality {
         Locality::Any => Some(counts),
-        Locality::Local => restrict_to_rack(snapshot, step, free, counts, tasks),
+        Locality::Local => restrict_to_rack(snapshot, step, free, limits, counts, tasks),
     }
 }
 
@@ -201,8 +161,13 @@
 }
 
 /// Returns whether a placement of `tasks` tasks of a step with `locality` is limited to one rack.
-pub(crate) fn needs_rack(step: &WaitingStep, tasks: u32, locality: Locality) -> bool {
-    let keeps_together = step.is_rack_sensitive && (tasks > 1 || !step.started_tasks.is_empty());
+pub(crate) fn needs_rack(
+    step: &WaitingStep,
+    limits: &StepLimits,
+    tasks: u32,
+    locality: Locality,
+) -> bool {
+    let keeps_together = step.is_rack_sensitive && (tasks > 1 || limits.started_on().is_some());
     locality == Locality::Local && (step.data_rack.is_some() || keeps_together)
 }
 
@@ -213,15 +178,16 @@
     snapshot: &Snapshot,
     step: &WaitingStep,
     free: &FreeResources,
+    limits: &StepLimits,
     mut counts: Vec<u32>,
     tasks: u32,
 ) -> Option<Vec<u32>> {
-    if !needs_rack(step, tasks, Locality::Local) {
+    if !needs_rack(step, limits, tasks, Locality::Local) {
         return Some(counts);
     }
     let rack = match &step.data_rack {
         Some(rack) => rack.clone(),
-        None => rack_of_step(snapshot, step)
+        None => rack_of_step(snapshot, limits)
             .or_else(|| best_fit_rack(snapshot, free, &counts, tasks))
             .or_else(|| largest_rack(snapshot, step, &counts, tasks))?,
     };
@@ -234,9 +200,8 @@
 }
 
 /// Returns the rack in which tasks of the step have been started already.
-fn rack_of_step(snapshot: &Snapshot, step: &WaitingStep) -> Option<RackId> {
-    let (worker, _) = step.started_tasks.first()?;
-    snapshot.workers[*worker].rack.clone()
+fn rack_of_step(snapshot: &Snapshot, limits: &StepLimits) -> Option<RackId> {
+    snapshot.workers[limits.started_on()?].rack.clone()
 }
 
 /// Returns the rack with the fewest free accelerators among those that fit all tasks.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod isolation;
 mod leaving;
+mod limits;
 mod plan;
 mod preempt;
 mod profile;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -14,15 +14,15 @@
 use crate::WaitReason;
 use crate::WaitingStep;
 use crate::WaitingTasks;
-use crate::fit::LastResort;
 use crate::fit::Locality;
-use crate::fit::TaskLimits;
 use crate::fit::can_start;
 use crate::fit::find_workers;
 use crate::fit::needs_rack;
-use crate::fit::task_limits;
 use crate::isolation::IsolationRules;
 use crate::leaving::runs_to_move;
+use crate::limits::LastResort;
+use crate::limits::PlacedTasks;
+use crate::limits::StepLimits;
 use crate::preempt::VictimSearch;
 use crate::profile::AvailabilityProfile;
 use crate::profile::FreeResources;
@@ -72,6 +72,8 @@
     /// Positions in [`Snapshot::running`] of the runs that this decision stops.
     stopped_runs: BTreeSet<usize>,
     isolation_rules: IsolationRules,
+    /// Tasks that this decision starts.
+    placed: PlacedTasks<'a>,
     /// Number of tasks that may start in this decision.
     startable: u32,
     plan: Plan,
@@ -90,7 +92,7 @@
 #[derive(Clone)]
 struct RemainingTasks {
     tasks: u32,
-    task_limits: TaskLimits,
+    limits: StepLimits,
 }
 
 impl<'a> Planner<'a> {
@@ -111,6 +113,7 @@
             planned: 0,
             stopped_runs: moves.iter().copied().collect(),
             isolation_rules: IsolationRules::new(snapshot),
+            placed: PlacedTasks::default(),
             startable: startable_tasks(snapshot),
             plan: Plan {
                 moves,
@@ -124,7 +127,7 @@
         let step = &self.snapshot.waiting[index];
         let mut remaining = RemainingTasks {
             tasks: step.count(),
-            task_limits: task_limits(self.snapshot, &self.isolation_rules, step, LastResort::None),
+            limits: self.limits(step, LastResort::None),
         };
         let Some(locality) = self.best_locality(step, &remaining) else {
             if self.start_on_quarantined(index, &mut remaining, None)
@@ -183,7 +186,9 @@
         let rules = self.isolation_rules.without_waits();
         let mut remaining = RemainingTasks {
             tasks,
-            task_limits: task_limits(self.snapshot, &rules, step, LastResort::None),
+            limits: self
+                .placed
+                .limits(self.snapshot, &rules, step, LastResort::None),
         };
         let Some(locality) = self.best_locality(step, &remaining) else {
             return;
@@ -203,6 +208,12 @@
         }
     }
 
+    /// Returns where further tasks of a step may be placed now.
+    fn limits(&self, step: &WaitingStep, last_resort: LastResort) -> StepLimits {
+        self.placed
+            .limits(self.snapshot, &self.isolation_rules, step, last_resort)
+    }
+
     /// Returns the strictest locality with which tasks of the step would fit if all workers were empty;
     /// `None` if they do not fit at all.
     fn best_locality(&self, step: &WaitingStep, remaining: &RemainingTasks) -> Option<Locality> {
@@ -223,7 +234,7 @@
             self.snapshot,
             step,
             free,
-            &remaining.task_limits,
+            &remaining.limits,
             remaining.tasks,
             locality,
         )
@@ -237,7 +248,7 @@
         remaining: &RemainingTasks,
         locality: Locality,
     ) -> bool {
-        let limits = &remaining.task_limits;
+        let limits = &remaining.limits;
         can_start(self.snapshot, step, free, limits, remaining.tasks, locality)
     }
 
@@ -277,6 +288,7 @@
         for worker in workers {
             self.isolation_rules.record_placed(step, *worker);
         }
+        self.placed.record(step, workers);
         let before = remaining.tasks;
         remaining.remove_placed(workers);
         self.startable -= before - remaining.tasks;
@@ -294,7 +306,7 @@
         let mut remaining = remaining.clone();
         let mut profile = self.profile.clone();
         // With a required rack the choice of the rack depends on the number of tasks, so there is no shortcut.
-        let has_shortcut = !needs_rack(step, remaining.tasks, locality);
+        let has_shortcut = !needs_rack(step, &remaining.limits, remaining.tasks, locality);
         for time in &self.profile.times()[1..] {
             // What is free throughout the run time is at most what is free at its start.
             if has_shortcut && !self.can_start(step, profile.free_at(*time), &remaining, locality) {
@@ -334,7 +346,7 @@
         let search = VictimSearch {
             snapshot: self.snapshot,
             step,
-            task_limits: &remaining.task_limits,
+            limits: &remaining.limits,
             tasks: remaining.tasks,
             locality,
             stopped_runs: &self.stopped_runs,
@@ -420,8 +432,7 @@
         last_resort: LastResort,
     ) -> bool {
         let step = &self.snapshot.waiting[index];
-        remaining.task_limits =
-            task_limits(self.snapshot, &self.isolation_rules, step, last_resort);
+        remaining.limits = self.limits(step, last_resort);
         self.start(index, remaining, Locality::Any);
         remaining.tasks == 0
     }
@@ -472,9 +483,7 @@
     /// Subtracts tasks that were placed on `workers`, one entry per task.
     fn remove_placed(&mut self, workers: &[usize]) {
         self.tasks -= u32::try_from(workers.len()).unwrap_or(u32::MAX);
-        for worker in workers {
-            self.task_limits[*worker] = self.task_limits[*worker].saturating_sub(1);
-        }
+        self.limits.record_placed(workers);
     }
 }
 
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -9,10 +9,10 @@
 use crate::Snapshot;
 use crate::WaitingStep;
 use crate::fit::Locality;
-use crate::fit::TaskLimits;
 use crate::fit::count_on;
 use crate::fit::fits;
 use crate::fit::needs_rack;
+use crate::limits::StepLimits;
 use crate::profile::FreeResources;
 use nutmegwalk_base::RackId;
 use nutmegwalk_workload::Resources;
@@ -35,7 +35,7 @@
 pub(crate) struct VictimSearch<'a> {
     pub(crate) snapshot: &'a Snapshot,
     pub(crate) step: &'a WaitingStep,
-    pub(crate) task_limits: &'a TaskLimits,
+    pub(crate) limits: &'a StepLimits,
     pub(crate) tasks: u32,
     pub(crate) locality: Locality,
     /// Positions in [`Snapshot::running`] of the runs that the decision stops already.
@@ -66,7 +66,7 @@
     /// Returns victims on the workers of one rack, or on all workers if `rack` is `None`.
     fn find_on(&self, free: &FreeResources, rack: Option<&RackId>) -> Option<Victims> {
         let is_in_scope = |worker: usize| {
-            self.task_limits[worker] > 0
+            self.limits.max_tasks_on(worker) > 0
                 && (rack.is_none() || self.snapshot.workers[worker].rack.as_ref() == rack)
         };
         let free = free
@@ -168,7 +168,7 @@
             free,
             counts: vec![0; workers],
             total: 0,
-            is_in_one_rack: needs_rack(search.step, search.tasks, search.locality),
+            is_in_one_rack: needs_rack(search.step, search.limits, search.tasks, search.locality),
         };
         (0..workers).for_each(|worker| room.recount(worker));
         room
@@ -184,7 +184,7 @@
                 self.search.snapshot,
                 self.search.step,
                 &self.free,
-                self.search.task_limits,
+                self.search.limits,
                 self.search.tasks,
                 self.search.locality,
             )
@@ -212,7 +212,7 @@
 
     fn recount(&mut self, worker: usize) {
         let search = self.search;
-        let allowed = search.task_limits[worker];
+        let allowed = search.limits.max_tasks_on(worker);
         let count = count_on(search.step, self.free[worker], allowed, search.tasks);
         let before = std::mem::replace(&mut self.counts[worker], count);
         self.total = self.total + u64::from(count) - u64::from(before);
