Order the reports of agents to the owner of a data centre as well

Callers of the product's own interface would see a running job stopped and started as a second attempt, after one late report of an ended agent process. Cause: AgentReport carried an incarnation, but neither a number nor an order of processes; the owner applied whatever arrived.

Change: the order of messages moves to nutmegwalk_base::succession, and both owners use it. AgentReport names its number and the last received answer; the agent reports again at once if its report was not confirmed.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,4 +1,4 @@
-//! Types and utilities shared by all crates: ids, error kinds, secrets, clocks, backoff, logging and metrics.
+//! Types and utilities shared by all crates: ids, error kinds, secrets, clocks, backoff, the order of messages, logging and metrics.
 
 pub mod backoff;
 pub mod clock;
@@ -9,6 +9,7 @@
 pub mod metrics;
 pub mod secret;
 pub mod signal;
+pub mod succession;
 
 pub use error::Error;
 pub use error::ErrorKind;
--- a/crates/domain/src/dispatch.rs
+++ b/crates/domain/src/dispatch.rs
@@ -170,7 +170,7 @@
         if self.is_superseded() {
             return None;
         }
-        let agent_incarnation = state.agents.get(&known.agent)?.incarnation;
+        let agent_incarnation = state.agents.get(&known.agent)?.contact.incarnation;
         let mut starts = BTreeMap::new();
         let now = clock::now();
         let mut stops: Vec<TaskRun> = known
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -21,7 +21,6 @@
 mod readiness;
 mod replica;
 mod report;
-mod report_order;
 mod run_index;
 mod settings;
 mod snapshot;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -14,17 +14,20 @@
 use crate::job::AssignmentState;
 use crate::job::StopState;
 use crate::metrics::DomainMetrics;
-use crate::report_order::ReportOrder;
 use crate::term::State;
 use crate::term::Term;
 use crate::term::as_ms;
 use crate::worker::AgentInfo;
+use crate::worker::REPORT_TIMEOUT;
 use crate::worker::UnexpectedRun;
 use crate::worker::Worker;
+use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::clock;
 use nutmegwalk_base::event;
 use nutmegwalk_base::signal::Signal;
+use nutmegwalk_base::succession::Contact;
+use nutmegwalk_base::succession::MessageOrder;
 use nutmegwalk_supervisor::Report;
 use nutmegwalk_supervisor::ReportAnswer;
 use nutmegwalk_supervisor::RunningTask;
@@ -77,22 +80,19 @@
         &self,
         report: &Report,
         now: Instant,
-    ) -> std::result::Result<ReportedWorker, ReportOrder> {
+    ) -> std::result::Result<ReportedWorker, MessageOrder> {
         let mut state = self.state.borrow_mut();
         let known = state.agents.get(&report.agent);
-        let known_incarnation = known.map(|known| known.incarnation);
+        let contact = known.map(|known| known.contact);
+        let known_incarnation = contact.map(|contact| contact.incarnation);
         let order = state.order_of(report, self.epoch(), now);
-        if order != ReportOrder::Latest {
+        if order != MessageOrder::Latest {
             log_report(event::REPORT_DROPPED, report, known_incarnation);
             return Err(order);
         }
-        let joined_at_ms = match known {
-            Some(known) if known.incarnation == report.incarnation => known.joined_at_ms,
-            _ => {
-                log_report(event::AGENT_JOINED, report, known_incarnation);
-                self.clock_ms(now)
-            }
-        };
+        if known_incarnation != Some(report.incarnation) {
+            log_report(event::AGENT_JOINED, report, known_incarnation);
+        }
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = report
             .worker
@@ -105,9 +105,12 @@
             ReportedWorker::Other
         };
         let info = AgentInfo {
-            incarnation: report.incarnation,
-            sequence: report.sequence,
-            joined_at_ms,
+            contact: Contact::after(
+                contact.as_ref(),
+                report.incarnation,
+                report.sequence,
+                self.clock_ms(now),
+            ),
             address: report.address,
             is_eligible: report.is_eligible,
             data_centre: announcement.map(|announcement| announcement.data_centre.clone()),
@@ -291,7 +294,7 @@
     fn answer_without_effect(
         &self,
         report: &Report,
-        order: ReportOrder,
+        order: MessageOrder,
         now: Instant,
     ) -> ReportAnswer {
         let mut state = self.state.borrow_mut();
@@ -302,7 +305,7 @@
             acknowledged: 0,
             hold_for_ms: 0,
             owner_clock_ms: self.clock_ms(now),
-            is_unconfirmed: order == ReportOrder::Unconfirmed,
+            is_unconfirmed: order == MessageOrder::Unconfirmed,
             is_standby: state.directory.is_standby(&report.agent),
             peers: state.directory.peers(Some(&report.agent)),
         }
@@ -359,6 +362,49 @@
 }
 
 impl State {
+    /// Returns the place of a report that arrives at `now`, in the term with `epoch`.
+    fn order_of(&self, report: &Report, epoch: Epoch, now: Instant) -> MessageOrder {
+        let known = self.agents.get(&report.agent);
+        match report.last_answer {
+            Some(answer) => Contact::order(
+                known.map(|known| &known.contact),
+                report.incarnation,
+                report.sequence,
+                answer,
+                epoch,
+            ),
+            None => self.order_by_heartbeat(report, now),
+        }
+    }
+
+    /// Returns the place of a report of an agent of an earlier release, which names no answer.
+    fn order_by_heartbeat(&self, report: &Report, now: Instant) -> MessageOrder {
+        let Some(known) = self.agents.get(&report.agent) else {
+            return MessageOrder::Latest;
+        };
+        if known.contact.incarnation == report.incarnation {
+            return known.contact.order_of_own(report.sequence);
+        }
+        if now.saturating_duration_since(known.last_report_at) > REPORT_TIMEOUT {
+            return MessageOrder::Latest;
+        }
+        // A new process knows only later heartbeats of the worker.
+        let is_late = report.worker.as_ref().is_some_and(|status| {
+            let announcement = &status.announcement;
+            self.workers
+                .get(&announcement.worker.id)
+                .is_some_and(|worker| {
+                    worker.announcement.worker == announcement.worker
+                        && worker.announcement.sequence >= announcement.sequence
+                })
+        });
+        if is_late {
+            MessageOrder::Late
+        } else {
+            MessageOrder::Latest
+        }
+    }
+
     /// Records that a worker has a task of a run; returns false if the run is unexpected there.
     fn record_running(
         &mut self,
--- a/crates/domain/src/worker.rs
+++ b/crates/domain/src/worker.rs
@@ -7,10 +7,10 @@
 
 use crate::job::TRIAL_TIME;
 use crate::monitor::STOP_RETRY_INTERVAL;
-use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::signal::Signal;
+use nutmegwalk_base::succession::Contact;
 use nutmegwalk_supervisor::ANSWER_TIMEOUT;
 use nutmegwalk_supervisor::Announcement;
 use nutmegwalk_workload::Resources;
@@ -22,10 +22,7 @@
 /// An agent that has sent a report.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentInfo {
-    pub(crate) incarnation: Incarnation,
-    pub(crate) sequence: u64,
-    /// When the first report of this process was applied, on the clock of the term, in milliseconds.
-    pub(crate) joined_at_ms: u64,
+    pub(crate) contact: Contact,
     pub(crate) address: SocketAddr,
     /// Whether the agent can take over the ownership.
     pub(crate) is_eligible: bool,
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,5 +1,6 @@
 //! The agent, which runs next to a worker and its backend server.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +31,7 @@
 use nutmegwalk_base::Result;
 use nutmegwalk_base::metrics::Metrics;
 use nutmegwalk_base::new_incarnation;
+use nutmegwalk_base::succession::ReceivedAnswer;
 use nutmegwalk_calls::Load;
 use nutmegwalk_calls::ServerReport;
 use nutmegwalk_calls::ServerSlots;
@@ -94,6 +96,10 @@
 struct Shared {
     settings: AgentSettings,
     incarnation: Incarnation,
+    /// Number of the last report to an owner.
+    report_number: Cell<u64>,
+    /// Last answer of an owner to a report that this process has received.
+    last_answer: Cell<ReceivedAnswer>,
     address: SocketAddr,
     client: Client,
     view: View,
@@ -218,6 +224,8 @@
         let requests = metrics.meter().u64_counter("nutmegwalk_requests").build();
         let shared = Shared {
             incarnation,
+            report_number: Cell::new(0),
+            last_answer: Cell::default(),
             address,
             client: clients.client,
             view,
@@ -335,7 +343,11 @@
                 {
                     Ok(answer) => {
                         self.gangs.acknowledge(answer.acknowledged);
-                        sent_state = Some(state);
+                        self.last_answer.set(ReceivedAnswer {
+                            epoch: answer.epoch,
+                            owner_clock_ms: answer.owner_clock_ms,
+                        });
+                        sent_state = (!answer.is_unconfirmed).then_some(state);
                         failing = false;
                     }
                     Err(error) => {
@@ -357,9 +369,12 @@
 
     fn agent_report(&self) -> AgentReport {
         let settings = &self.settings;
+        self.report_number.set(self.report_number.get() + 1);
         AgentReport {
             process: settings.common.name.clone(),
             incarnation: self.incarnation,
+            number: self.report_number.get(),
+            last_answer: Some(self.last_answer.get()),
             address: self.address,
             data_centre: settings.common.data_centre.clone(),
             rack: settings.rack.clone(),
--- a/crates/node/src/owner/messages.rs
+++ b/crates/node/src/owner/messages.rs
@@ -14,6 +14,7 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::ProcessId;
 use nutmegwalk_base::RackId;
+use nutmegwalk_base::succession::ReceivedAnswer;
 use nutmegwalk_config::WorkerShape;
 use nutmegwalk_gang::GangReport;
 use nutmegwalk_net::Message;
@@ -25,6 +26,12 @@
     pub process: ProcessId,
     /// Incarnation of the agent.
     pub incarnation: Incarnation,
+    /// Number of the report within the incarnation; a late one has a lower number.
+    #[serde(default)]
+    pub number: u64,
+    /// Last answer to a report that this process has received. `None` from an agent of an earlier release.
+    #[serde(default)]
+    pub last_answer: Option<ReceivedAnswer>,
     /// Address of the agent.
     pub address: SocketAddr,
     /// Data centre of the worker.
@@ -46,6 +53,12 @@
     pub epoch: Epoch,
     /// Sequence number up to which the ends of attempts are recorded durably.
     pub acknowledged: u64,
+    /// The owner's clock, in milliseconds since its term began; zero from an owner of an earlier release.
+    #[serde(default)]
+    pub owner_clock_ms: u64,
+    /// Whether the report was not applied, as it does not show that its process is alive. The next one does.
+    #[serde(default)]
+    pub is_unconfirmed: bool,
 }
 
 impl Message for AgentReport {
--- a/crates/node/src/owner/reports.rs
+++ b/crates/node/src/owner/reports.rs
@@ -20,6 +20,8 @@
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::WorkerId;
+use nutmegwalk_base::succession::Contact;
+use nutmegwalk_base::succession::MessageOrder;
 use nutmegwalk_fleet::StopReason;
 use nutmegwalk_fleet::WorkerSpec;
 use nutmegwalk_gang::Attempt;
@@ -44,6 +46,24 @@
         let lag = self.inner.timings.report_lag;
         let lease = self.inner.timings.gang.lease;
         let applied = self.with_term(held.epoch, |term| {
+            let owner_clock_ms = as_ms(term.now());
+            let order = order_of(term, &report);
+            if order != MessageOrder::Latest {
+                info!(
+                    agent = &*report.process,
+                    incarnation = report.incarnation,
+                    number = report.number,
+                    order:? = order;
+                    "not applying a report"
+                );
+                let answer = AgentReportAnswer {
+                    epoch: held.epoch,
+                    acknowledged: 0,
+                    owner_clock_ms,
+                    is_unconfirmed: order == MessageOrder::Unconfirmed,
+                };
+                return (ReportActions::default(), answer);
+            }
             let actions = required_actions(term, &report, lag, lease);
             let acknowledged = if term.loaded && all_ends_recorded(term, &report) {
                 report.gangs.sequence
@@ -51,9 +71,15 @@
                 0
             };
             record_worker(term, report);
-            (actions, acknowledged)
+            let answer = AgentReportAnswer {
+                epoch: held.epoch,
+                acknowledged,
+                owner_clock_ms,
+                is_unconfirmed: false,
+            };
+            (actions, answer)
         });
-        let (actions, acknowledged) = applied.ok_or_else(not_owner)?;
+        let (actions, answer) = applied.ok_or_else(not_owner)?;
         for (job, end) in actions.ended {
             self.handle_gang_end(held.epoch, &job, end);
         }
@@ -69,10 +95,7 @@
             })
             .detach();
         }
-        Ok(AgentReportAnswer {
-            epoch: held.epoch,
-            acknowledged,
-        })
+        Ok(answer)
     }
 
     /// Resolves attempts of earlier terms from the reports received so far: adopts, ends or stops them.
@@ -196,13 +219,27 @@
     }
 }
 
+/// Returns the place of a report among those of its agent. Reports of an agent of an earlier release are all applied.
+fn order_of(term: &Term, report: &AgentReport) -> MessageOrder {
+    let known = term.workers.get(&report.gangs.worker);
+    report.last_answer.map_or(MessageOrder::Latest, |answer| {
+        Contact::order(
+            known.map(|known| &known.contact),
+            report.incarnation,
+            report.number,
+            answer,
+            term.epoch,
+        )
+    })
+}
+
 /// Updates the state of the worker from its agent's report.
 fn record_worker(term: &mut Term, report: AgentReport) {
     let now = term.now();
     let id = report.gangs.worker.clone();
     let previous = term.workers.get(&id);
-    let is_new =
-        previous.is_none_or(|known| known.incarnation != report.incarnation || !known.usable);
+    let is_new = previous
+        .is_none_or(|known| known.contact.incarnation != report.incarnation || !known.usable);
     let suspended_until = previous.and_then(|known| known.suspended_until);
     let suspended_until = suspended_until.filter(|until| *until > Instant::now());
     let unanswered = previous.map_or(0, |known| known.unanswered);
@@ -220,9 +257,15 @@
     if !usable && previous.is_some_and(|known| known.usable) {
         term.fleet.set_worker_usable(&id, false, now);
     }
+    let contact = Contact::after(
+        previous.map(|known| &known.contact),
+        report.incarnation,
+        report.number,
+        as_ms(now),
+    );
     let entry = WorkerEntry {
         address: report.address,
-        incarnation: report.incarnation,
+        contact,
         last_report_at: Instant::now(),
         usable,
         accelerators: report.shape.accelerators,
@@ -334,3 +377,8 @@
             entry.is_none_or(|entry| entry.attempt() != Some(part.attempt))
         })
 }
+
+/// Returns a duration in whole milliseconds.
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/owner/term.rs
+++ b/crates/node/src/owner/term.rs
@@ -13,10 +13,10 @@
 use nutmegwalk_base::Epoch;
 use nutmegwalk_base::Error;
 use nutmegwalk_base::ErrorKind;
-use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::Result;
 use nutmegwalk_base::WorkerId;
+use nutmegwalk_base::succession::Contact;
 use nutmegwalk_config::Configuration;
 use nutmegwalk_config::WorkerShape;
 use nutmegwalk_fleet::Degraded;
@@ -119,7 +119,7 @@
 /// A worker as its agent last reported it.
 pub(crate) struct WorkerEntry {
     pub(crate) address: SocketAddr,
-    pub(crate) incarnation: Incarnation,
+    pub(crate) contact: Contact,
     pub(crate) last_report_at: Instant,
     pub(crate) usable: bool,
     pub(crate) accelerators: u32,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -19,7 +19,9 @@
 use worker::EventLog;
 use worker::FakeWorker;
 
+use nutmegwalk_base::new_incarnation;
 use nutmegwalk_base::secret::Secret;
+use nutmegwalk_base::succession::ReceivedAnswer;
 use nutmegwalk_config::Configuration;
 use nutmegwalk_config::DataCentre;
 use nutmegwalk_config::TakenOut;
@@ -288,7 +290,10 @@
         let client = self.client("agent");
         let address = node.address;
         let worker = Rc::clone(&node.worker);
+        let incarnation = new_incarnation();
         compio::runtime::spawn(async move {
+            let mut number = 0;
+            let mut last_answer = ReceivedAnswer::default();
             loop {
                 compio::time::sleep(Duration::from_millis(100)).await;
                 let Some(row) = owner_row(&table).filter(|_| !shared.unresponsive.get()) else {
@@ -296,14 +301,23 @@
                 };
                 let agent = shared.agent.borrow().clone();
                 agent.set_epoch_floor(row.epoch);
-                let report =
-                    agent_report(address, agent.report(), shared.reported_accelerators.get());
+                number += 1;
+                let report = AgentReport {
+                    incarnation,
+                    number,
+                    last_answer: Some(last_answer),
+                    ..agent_report(address, agent.report(), shared.reported_accelerators.get())
+                };
                 let Ok(owner) = row.address.parse() else {
                     continue;
                 };
                 worker.running();
                 if let Ok(answer) = client.send(owner, &report, Duration::from_secs(1)).await {
                     agent.acknowledge(answer.acknowledged);
+                    last_answer = ReceivedAnswer {
+                        epoch: answer.epoch,
+                        owner_clock_ms: answer.owner_clock_ms,
+                    };
                 }
             }
         })
@@ -449,6 +463,8 @@
     AgentReport {
         process: format!("agent-{}", gangs.worker).into(),
         incarnation: 1,
+        number: 0,
+        last_answer: None,
         address,
         data_centre: DATA_CENTRE.into(),
         rack: "r1".into(),
--- a/crates/node/tests/owner_faults.rs
+++ b/crates/node/tests/owner_faults.rs
@@ -12,6 +12,7 @@
 use common::record;
 use common::run_on;
 
+use nutmegwalk_base::succession::ReceivedAnswer;
 use nutmegwalk_gang::Attempt;
 use nutmegwalk_gang::AttemptPhase;
 use nutmegwalk_gang::AttemptReport;
@@ -107,6 +108,26 @@
         assert_eq!(cluster.running(), 0);
     }
 
+    // Guards against a late report of an ended process of an agent that stops a job its successor runs.
+    job_outlives_a_late_report_of_an_ended_process_of_its_agent => {
+        let cluster = Cluster::new(1).await;
+        let owner = cluster.start_owner("owner-a").await;
+        cluster.submit("job-1", 1, 8).await;
+        cluster.wait_for("start", |cluster| cluster.running() == 1).await;
+        // Longer than the time for which a report may have been made before the start.
+        compio::time::sleep(Duration::from_secs(4)).await;
+        let gangs = GangReport { attempts: Vec::new(), ..cluster.nodes[0].shared.agent.borrow().report() };
+        let mut late = agent_report(cluster.nodes[0].address, gangs, 8);
+        late.incarnation = 99;
+        late.number = 1;
+        late.last_answer = Some(ReceivedAnswer::default());
+        let client = cluster.client("late");
+        client.send(owner.address, &late, Duration::from_secs(1)).await.expect("an answer");
+        compio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(cluster.attempts("job-1").len(), 1);
+        assert_eq!(cluster.running(), 1);
+    }
+
     // Guards against a job that is started by its owner while its home is being cleared, because its data
     // centre returned to service in between.
     job_that_is_being_moved_is_not_started_when_its_data_centre_returns => {
--- a/crates/scenarios/examples/slopes/reporters.rs
+++ b/crates/scenarios/examples/slopes/reporters.rs
@@ -114,6 +114,8 @@
     AgentReport {
         process: format!("agent-w{number}").into(),
         incarnation: new_incarnation(),
+        number: 0,
+        last_answer: None,
         address,
         data_centre: data_centre.into(),
         rack: format!("r{}", number / 20).into(),
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -22,7 +22,6 @@
 pub use message::PaceOrder;
 pub use message::PeersAnswer;
 pub use message::PeersRequest;
-pub use message::ReceivedAnswer;
 pub use message::Report;
 pub use message::ReportAnswer;
 pub use message::StartOrder;
--- a/crates/supervisor/src/message.rs
+++ b/crates/supervisor/src/message.rs
@@ -15,6 +15,7 @@
 use nutmegwalk_base::Incarnation;
 use nutmegwalk_base::JobId;
 use nutmegwalk_base::ProcessId;
+use nutmegwalk_base::succession::ReceivedAnswer;
 use nutmegwalk_net::Message;
 use nutmegwalk_workload::Occurrence;
 use nutmegwalk_workload::Run;
@@ -106,15 +107,6 @@
     pub worker: Option<WorkerStatus>,
 }
 
-/// An answer that a process of an agent has received; zeros before the first one.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ReceivedAnswer {
-    /// Epoch of the owner.
-    pub epoch: Epoch,
-    /// The owner's clock, as in [`ReportAnswer::owner_clock_ms`].
-    pub owner_clock_ms: u64,
-}
-
 /// The owner's answer to a report.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReportAnswer {
--- a/crates/sync/tests/membership.rs
+++ b/crates/sync/tests/membership.rs
@@ -140,6 +140,21 @@
         assert_eq!(fixture.membership.get("a").unwrap().report.incarnation, new.incarnation);
     }
 
+    // Guards against a late update of an ended incarnation, at a receiver that has only heard of its successor, that keeps the
+    // successor out.
+    incarnation_outlives_a_late_update_of_the_one_before => {
+        let mut fixture = Fixture::new();
+        let (old, new) = (agent("a"), agent("a"));
+        fixture.record(&with_report(&new));
+        fixture.advance_time(seconds(1));
+        fixture.record(&with_report(&old));
+        for _ in 0..3 {
+            fixture.advance_time(seconds(1));
+            fixture.record(&with_report(&new));
+        }
+        assert_eq!(fixture.membership.get("a").unwrap().report.incarnation, new.incarnation);
+    }
+
     // Guards against an older report that replaces a newer one, so that requests are routed by outdated data.
     only_newer_revisions_replace_a_report => {
         let fixture = Fixture::new();
