Let all parts of a limited step take part in a decision

Waiting tasks of a step are kept apart by their risk of crashing. If the step had a limit per worker, one part at a time took part, as a decision did not see what it placed for another part; the others waited for the first one. Since the decision counts what it places for each step, the exception is not needed.

limit_holds_over_all_parts_of_a_step and every_plan_keeps_the_limits hold the limit over several parts; both fail if nothing is recorded as placed.

--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -316,13 +316,7 @@
         }
         for (occurrence, step, ready_since) in self.job.readiness.steps() {
             let groups = self.job.waiting_tasks(self.id, occurrence, step, self.now);
-            // One decision does not see what it places for another part of the same step, so a step with a limit for
-            // each worker takes part with one group of tasks at a time.
-            let is_limited = self.job.record.spec.steps[step as usize]
-                .max_tasks_per_worker
-                .is_some();
-            let group_count = if is_limited { 1 } else { groups.len() };
-            for (crash_risk, tasks) in groups.into_iter().take(group_count) {
+            for (crash_risk, tasks) in groups {
                 let group = Group {
                     occurrence,
                     step,
