Log only processes of agents that replace others

A new owner would write two lines for each agent at the start of its term. Only a process that replaces another one, and a report that is not applied beside a known process, tell something: agent_joined becomes agent_replaced.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -135,9 +135,9 @@
     RUN_ENDED = "run_ended";
     /// The owner has found that the runs on a worker are lost.
     RUNS_LOST = "runs_lost";
-    /// The owner applies reports of another process of an agent, or of the first one in its term.
-    AGENT_JOINED = "agent_joined";
-    /// A report was not applied: a later one came before, or its process has yet to show that it is alive.
+    /// The owner applies reports of another process of an agent than before.
+    AGENT_REPLACED = "agent_replaced";
+    /// A report was not applied: a later one came before, or another process of its agent is known and it has to confirm.
     REPORT_DROPPED = "report_dropped";
     /// An incarnation of a worker is over, because its agent has reported a later one.
     WORKER_SUPERSEDED = "worker_superseded";
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,4 +1,5 @@
-//! Types and utilities shared by all crates: ids, error kinds, secrets, clocks, backoff, the order of messages, logging and metrics.
+//! Types and utilities shared by all crates: ids, error kinds, secrets, clocks, backoff, the order of messages, logging and
+//! metrics.
 
 pub mod backoff;
 pub mod clock;
--- a/crates/domain/src/report.rs
+++ b/crates/domain/src/report.rs
@@ -76,23 +76,22 @@
     }
 
     /// Records the agent. Returns an error if the report may not be applied.
-    fn record_agent(
-        &self,
-        report: &Report,
-        now: Instant,
-    ) -> std::result::Result<ReportedWorker, MessageOrder> {
+    fn record_agent(&self, report: &Report, now: Instant) -> Result<ReportedWorker, MessageOrder> {
         let mut state = self.state.borrow_mut();
         let known = state.agents.get(&report.agent);
         let contact = known.map(|known| known.contact);
         let known_incarnation = contact.map(|contact| contact.incarnation);
         let order = state.order_of(report, self.epoch(), now);
+        if let Some(known_incarnation) = known_incarnation {
+            if order != MessageOrder::Latest {
+                log_report(event::REPORT_DROPPED, report, known_incarnation);
+            } else if known_incarnation != report.incarnation {
+                log_report(event::AGENT_REPLACED, report, known_incarnation);
+            }
+        }
         if order != MessageOrder::Latest {
-            log_report(event::REPORT_DROPPED, report, known_incarnation);
             return Err(order);
         }
-        if known_incarnation != Some(report.incarnation) {
-            log_report(event::AGENT_JOINED, report, known_incarnation);
-        }
         let announcement = report.worker.as_ref().map(|status| &status.announcement);
         let worker = report
             .worker
@@ -527,7 +526,7 @@
 }
 
 /// Logs what the owner does with a report of an agent whose known process is `known_incarnation`.
-fn log_report(event: &'static str, report: &Report, known_incarnation: Option<Incarnation>) {
+fn log_report(event: &'static str, report: &Report, known_incarnation: Incarnation) {
     let worker = report
         .worker
         .as_ref()
@@ -536,7 +535,7 @@
         agent = &*report.agent,
         incarnation = report.incarnation,
         report = report.sequence,
-        known_incarnation:? = known_incarnation,
+        known_incarnation = known_incarnation,
         worker = worker.map_or("", |worker| &*worker.id),
         born_unix_ms = worker.map_or(0, |worker| worker.born_unix_ms);
         ""
