Judge a crash by the crashes at earlier runs only

Callers saw a gang that crashes the workers of its members started a sixth time; five are the most that users allow.

Cause: the time for which a worker has to be up before a trial rises with the crashes of the unit. It was read again when a crash was judged. Both members of a gang crash their workers at the same run: the crash that is reported first raised the time, and the second one was no trial by it. When the members take turns, each has two conclusive crashes after five starts, and none has three.

Evidence: run_crashed_worker of a test that reports the crashes in turns says `none` for the first and `no_trial` for the second of each run, although both workers had been up for equally long. Ruled out: a shorter time at the agent (both are equal), and silence (it would count as the fourth trial).

The time now belongs to a run and counts crashes at earlier runs only, so the placement and the judgement have the same answer in any order of reports. The next run's number is above all recorded ones, so placements do not change.

The test of the rising times passes the number of the run; its bounds are as they were.

--- a/crates/assembly/tests/common/scripted_agent.rs
+++ b/crates/assembly/tests/common/scripted_agent.rs
@@ -46,6 +46,7 @@
 
 /// An agent without a supervisor.
 pub(crate) struct ScriptedAgent {
+    pub(crate) name: Box<str>,
     address: SocketAddr,
     client: Client,
     sequence: Cell<u64>,
@@ -82,13 +83,19 @@
 impl ScriptedAgent {
     /// Starts an agent that accepts orders.
     pub(crate) async fn start() -> Rc<Self> {
+        Self::start_as("scripted").await
+    }
+
+    /// Starts an agent with this name that accepts orders.
+    pub(crate) async fn start_as(name: &str) -> Rc<Self> {
         let listen = "127.0.0.1:0".parse().expect("an address");
         let server = Server::bind(listen, ServerLimits::default())
             .await
             .expect("a free port");
         let agent = Rc::new(Self {
+            name: name.into(),
             address: server.local_address(),
-            client: Client::new("scripted", Secret::new("")).expect("HTTP client"),
+            client: Client::new(name, Secret::new("")).expect("HTTP client"),
             sequence: Cell::new(0),
             incarnation: Cell::new(1),
             epoch: Cell::new(0),
@@ -135,7 +142,7 @@
         let incarnation = self.incarnation.get();
         let last_answers = self.last_answers.borrow();
         Report {
-            agent: "scripted".into(),
+            agent: self.name.clone(),
             incarnation,
             sequence: self.sequence.get(),
             address: self.address,
--- a/crates/domain/src/crash.rs
+++ b/crates/domain/src/crash.rs
@@ -137,7 +137,7 @@
             return;
         };
         let up_for = Duration::from_millis(crash.up_for_ms);
-        let is_trial = is_sole && up_for >= progress.crash_history.settling_time();
+        let is_trial = is_sole && up_for >= progress.crash_history.settling_time(run.run);
         let doubt = if !is_trial {
             Doubt::NoTrial
         } else if !crash.was_broken {
--- a/crates/domain/src/snapshot.rs
+++ b/crates/domain/src/snapshot.rs
@@ -24,7 +24,6 @@
 use nutmegwalk_placement::TaskList;
 use nutmegwalk_placement::WaitingStep;
 use nutmegwalk_placement::WorkerView;
-use nutmegwalk_workload::CrashHistory;
 use nutmegwalk_workload::CrashRisk;
 use nutmegwalk_workload::JobSpec;
 use nutmegwalk_workload::Occurrence;
@@ -32,6 +31,7 @@
 use nutmegwalk_workload::Resources;
 use nutmegwalk_workload::StepIndex;
 use nutmegwalk_workload::UnitId;
+use nutmegwalk_workload::UnitProgress;
 use nutmegwalk_workload::WorkerRef;
 
 /// Number of cores that one accelerator counts as in amounts of work.
@@ -347,13 +347,14 @@
             .map(|(_, live)| *live)
             .collect();
         let waiting_units = started.iter().filter(waits).map(|(unit, _)| *unit);
-        let histories: Vec<&CrashHistory> = waiting_units
+        let progress: Vec<&UnitProgress> = waiting_units
             .filter_map(|unit| self.job.progress.unit(unit))
-            .map(|unit| &unit.crash_history)
             .collect();
-        let crashes = histories.iter().flat_map(|history| history.crashes());
+        let crashes = progress
+            .iter()
+            .flat_map(|unit| unit.crash_history.crashes());
         let crashed: Vec<&WorkerRef> = crashes.map(|crash| &crash.worker).collect();
-        let settling_times = histories.iter().map(|history| history.settling_time());
+        let settling_times = progress.iter().map(|unit| unit.next_settling_time());
         let settling_time = settling_times.max().unwrap_or_default();
         WaitingStep {
             job: self.id.clone(),
--- a/crates/workload/src/crash.rs
+++ b/crates/workload/src/crash.rs
@@ -131,11 +131,13 @@
         tasks.map(of_task).max().unwrap_or(0)
     }
 
-    /// Returns the time for which a worker has to be up before the next start, so that a crash would be evidence. It rises
-    /// with the crashes, since workers whose lives are all a little longer would otherwise always crash at the start.
+    /// Returns the time for which a worker has to be up before it starts `run`, so that a crash would be evidence. It rises
+    /// with the crashes at earlier runs, since workers whose lives are all a little longer would otherwise always crash at
+    /// the start. Other members of a gang that crash their workers at the same run do not change it.
     #[must_use]
-    pub fn settling_time(&self) -> Duration {
-        let crashes = u32::try_from(self.crash_count()).unwrap_or(u32::MAX);
+    pub fn settling_time(&self, run: Run) -> Duration {
+        let crashes = self.largest_count(|crash| crash.run < run);
+        let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
         SETTLING_TIME.saturating_mul(crashes.clamp(1, MAX_SETTLING_FACTOR))
     }
 
--- a/crates/workload/src/progress.rs
+++ b/crates/workload/src/progress.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Range;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -149,6 +150,15 @@
     pub crash_history: CrashHistory,
 }
 
+impl UnitProgress {
+    /// Returns the time for which a worker has to be up before it starts the next run, see
+    /// [`CrashHistory::settling_time`].
+    #[must_use]
+    pub fn next_settling_time(&self) -> Duration {
+        self.crash_history.settling_time(self.last_run + 1)
+    }
+}
+
 /// Progress of a step in one occurrence.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct StepProgress {
--- a/crates/workload/tests/crash_history.rs
+++ b/crates/workload/tests/crash_history.rs
@@ -144,10 +144,23 @@
 
     // Guards against a job that is given up because all workers crash soon after the time at which it starts there.
     each_crash_asks_for_a_worker_that_has_been_up_for_longer => {
-        let times: Vec<u64> = (0..5).map(|crashes| history(1..=crashes).settling_time().as_secs()).collect();
+        let times: Vec<u64> = (0..5)
+            .map(|crashes| history(1..=crashes).settling_time(crashes + 1).as_secs())
+            .collect();
         assert_eq!(times, [2, 2, 4, 6, 8]);
     }
 
+    // Guards against a crash under one member of a gang that is no trial any more since another member has crashed its
+    // worker at the same run.
+    crashes_at_a_run_do_not_ask_for_longer_lives_of_its_workers => {
+        let mut history = history(1..=2);
+        history.record_crash(crash(1, 3));
+        let before = history.settling_time(3);
+        history.record_crash(crash(0, 3));
+        assert_eq!(history.settling_time(3), before);
+        assert!(history.settling_time(4) > before);
+    }
+
     // Guards against giving up a gang because several of its workers crashed at once, each under another task.
     crashes_under_different_tasks_are_not_added_up => {
         let mut history = CrashHistory::default();
